--- /dev/null
+++ b/brookhub/__init__.py
@@ -0,0 +1,1 @@
+"""brookhub: a quota-keeping API gateway."""
--- /dev/null
+++ b/brookhub/drill/__main__.py
@@ -0,0 +1,19 @@
+"""Run the drill: python -m brookhub.drill."""
+
+import sys
+
+from .frames import WireError
+from .host import Host
+
+
+def main() -> int:
+    try:
+        Host(sys.stdin.buffer, sys.stdout.buffer).run()
+    except WireError as broken:
+        print(f"brookhub.drill: {broken}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/brookhub/drill/host.py
@@ -0,0 +1,244 @@
+"""Hosts many gateways behind one wire: decodes records into calls on them, and their actions into replies."""
+
+from __future__ import annotations
+
+import sys
+import traceback
+from typing import BinaryIO, Callable
+from weakref import WeakValueDictionary
+
+from ..interface import ApiCall, Customer, Outcome, Server, State, UpstreamTry
+from ..policy import Gateway
+from . import frames, start
+from .frames import Batch, Reply, WireError
+
+OUTCOMES = {10: Outcome.OK, 20: Outcome.ERROR, 30: Outcome.FULL, 40: Outcome.TIMEOUT, 50: Outcome.UNCONNECTED,
+            60: Outcome.RESET, 70: Outcome.CANCELLED, 80: Outcome.UNSENT}
+STATES = {0: State.READY, 1: State.GONE, 2: State.DRAINING}
+DELTA, FULL, CACHED, FAILED = 0, 2, 3, 4
+REPEATED, WRITE = 2, 4
+TO_ALL = 0xFFFF
+
+
+def named(table: dict, code: int, what: str):
+    if code not in table:
+        raise WireError(f"unknown {what} {code}")
+    return table[code]
+
+
+class Seat:
+    """One gateway's place at the wire: the port it acts through, and the ids of what it holds."""
+
+    def __init__(self, instance: int, seed: int, info: dict, now: float, reply: Reply):
+        self.instance, self.now, self.reply = instance, now, reply
+        self.calls: dict[int, ApiCall] = {}
+        self.servers: dict[int, Server] = {}
+        self.customers: WeakValueDictionary[int, Customer] = WeakValueDictionary()
+        self.alarms: dict[int, Callable[[], None]] = {}
+        self.counts: dict[int, list[Callable]] = {}
+        self.mark = 0
+        self.columns = list(start.part(info, "load_info").get("columns", []))
+        terms = start.terms(info)
+        self.routes, self.plans = terms["routes"], terms["plans"]
+        try:
+            self.gateway = Gateway(self, seed, **terms)
+        except ValueError as refused:
+            raise WireError(f"settings: {refused}") from refused
+
+    # the port
+
+    def act(self, code: int, *fields) -> None:
+        self.reply.add(code, self.instance, *fields)
+
+    def send(self, call: ApiCall, server: Server, timeout: float) -> UpstreamTry:
+        upstream = UpstreamTry(call, server, len(call.tries), self.now)
+        call.tries.append(upstream)
+        self.act(frames.FORWARD, call.id, server.id, timeout)
+        return upstream
+
+    def cancel(self, upstream: UpstreamTry) -> None:
+        self.act(frames.WITHDRAW, upstream.call.id, upstream.number)
+
+    def rate_limit(self, call: ApiCall, retry_after: float) -> None:
+        self.act(frames.PUSH_BACK, call.id, retry_after)
+        self.release(call)
+
+    def error(self, call: ApiCall) -> None:
+        self.act(frames.LOSE, call.id)
+        self.release(call)
+
+    def count(self, name: int, amount: float, lives: float, told: Callable[[Outcome, float, float], None]) -> None:
+        self.counts.setdefault(name, []).append(told)
+        self.act(frames.ADD_AND_GET, name, amount, lives)
+
+    def probe(self, server: Server) -> None:
+        self.act(frames.SOUND_OUT, server.id)
+
+    def tell(self, peer: int | None, data: bytes) -> None:
+        self.act(frames.POST, TO_ALL if peer is None else peer, *self.reply.keep(data))
+
+    def close_idle(self, server: Server) -> None:
+        self.act(frames.FREE_LINKS, server.id)
+
+    def follow_servers(self, on: bool) -> None:
+        self.act(frames.SUBSCRIBE, int(on))
+
+    def fetch_servers(self) -> None:
+        self.act(frames.RELOAD)
+
+    def later(self, seconds: float, callback: Callable[[], None]) -> None:
+        self.mark += 1
+        self.alarms[self.mark] = callback
+        self.act(frames.SET_ALARM, seconds, self.mark)
+
+    def log(self, text: str) -> None:
+        self.act(frames.TRACE, *self.reply.keep(text.encode()))
+
+    # what comes in
+
+    def release(self, call: ApiCall) -> None:
+        """Forget an answered API call once none of its tries is out."""
+        if all(upstream.outcome for upstream in call.tries):
+            self.calls.pop(call.id, None)
+
+    def arrival(self, ident: int, expires: float, units: float, plan: int, customer: int, spread: float,
+                first: float, bits: int, route: int) -> None:
+        if plan >= len(self.plans) or route >= len(self.routes):
+            raise WireError(f"API call {ident} names plan {plan} and route {route}, which the settings do not hold")
+        payer = self.customers.get(customer)
+        if payer is None:
+            payer = self.customers[customer] = Customer(customer, self.plans[plan])
+        call = ApiCall(ident, payer, self.routes[route], expires, units, max(1, round(spread)), round(first),
+                       bool(bits & REPEATED), bool(bits & WRITE))
+        self.calls[ident] = call
+        self.gateway.arrived(call)
+
+    def opened(self, ident: int, took: float, server: int, number: int) -> None:
+        upstream = self.find(ident, number)
+        if upstream:
+            self.gateway.answer_began(upstream, took)
+
+    def try_end(self, ident: int, number: int, server: int, code: int, took: float, final: int, used: int,
+                charged: int, columns: int, *values: float) -> None:
+        upstream = self.find(ident, number)
+        if upstream is None:
+            return
+        upstream.outcome = named(OUTCOMES, code, "outcome")
+        report = dict(zip(self.columns, values[:columns]))
+        self.gateway.try_ended(upstream, took, bool(final), float(charged), used - 1 if used else None, report)
+        if final:
+            self.release(upstream.call)
+        elif upstream.call.id in self.calls and upstream.call.rq is None:
+            self.release(upstream.call)
+
+    def find(self, ident: int, number: int) -> UpstreamTry | None:
+        call = self.calls.get(ident)
+        return call.tries[number] if call and number < len(call.tries) else None
+
+    def hangup(self, ident: int) -> None:
+        call = self.calls.get(ident)
+        if call:
+            self.gateway.client_left(call)
+            self.release(call)
+
+    def fired(self, mark: int) -> None:
+        callback = self.alarms.pop(mark, None)
+        if callback:
+            callback()
+
+    def counted(self, name: int, code: int, total: float, took: float) -> None:
+        waiting = self.counts.get(name)
+        if not waiting:
+            return
+        told = waiting.pop(0)
+        if not waiting:
+            del self.counts[name]
+        told(named(OUTCOMES, code, "count outcome"), total, took)
+
+    def probed(self, code: int, server: int, took: float, columns: int, *values: float) -> None:
+        if server in self.servers:
+            report = dict(zip(self.columns, values[:columns]))
+            self.gateway.probed(self.servers[server], named(OUTCOMES, code, "probe outcome"), took, report)
+
+    def server_list(self, scope: int, entries: list[tuple]) -> None:
+        if scope == FAILED:
+            self.gateway.servers_unheard()
+            return
+        if scope not in (DELTA, FULL, CACHED):
+            raise WireError(f"unknown scope {scope} of a server list")
+        told = []
+        for ident, zone, kind, cell, state, weight, since in entries:
+            server = self.servers.get(ident)
+            if server is None:
+                server = self.servers[ident] = Server(ident)
+            server.zone, server.kind, server.cell, server.weight = zone, kind, cell, weight
+            server.state, server.up_since = named(STATES, state, "server state"), since
+            told.append(server)
+        if scope != DELTA:
+            listed = {server.id for server in told}
+            for server in self.servers.values():
+                if server.id not in listed:
+                    server.state = State.GONE
+                    told.append(server)
+        self.gateway.servers_told(told)
+
+
+class Host:
+    """Reads batches, lets the gateways that they name act, and answers each batch."""
+
+    def __init__(self, source: BinaryIO, sink: BinaryIO):
+        self.source, self.sink = source, sink
+        self.seats: dict[int, Seat] = {}
+
+    def run(self) -> None:
+        while (batch := frames.read_batch(self.source)) is not None:
+            reply = Reply(batch.number)
+            for code, fields in batch.records():
+                self.take(batch, reply, code, fields)
+            self.sink.write(reply.encode())
+            self.sink.flush()
+
+    def take(self, batch: Batch, reply: Reply, code: int, fields: tuple) -> None:
+        instance, *rest = fields
+        if code == frames.KILLED:
+            self.seats.pop(instance, None)
+            return
+        try:
+            if code == frames.LAUNCH:
+                seed, offset, length = rest
+                info = start.parse(bytes(batch.tail(offset, length)))
+                self.seats[instance] = Seat(instance, seed, info, batch.clock, reply)
+                return
+            seat = self.seats.get(instance)
+            if seat is None:
+                return
+            seat.now, seat.reply = batch.clock, reply
+            self.hand(seat, batch, code, rest)
+        except WireError:
+            raise
+        except Exception:
+            text = traceback.format_exc()
+            print(text, file=sys.stderr)
+            reply.add(frames.BUG, instance, *reply.keep(text[-2000:].encode()))
+
+    def hand(self, seat: Seat, batch: Batch, code: int, rest: list) -> None:
+        if code == frames.ARRIVAL:
+            seat.arrival(*rest)
+        elif code == frames.TRY_END:
+            seat.try_end(*rest)
+        elif code == frames.FIRED:
+            seat.fired(*rest)
+        elif code == frames.COUNTED:
+            seat.counted(*rest)
+        elif code == frames.OPENED:
+            seat.opened(*rest)
+        elif code == frames.PROBED:
+            seat.probed(*rest)
+        elif code == frames.HANGUP:
+            seat.hangup(*rest)
+        elif code == frames.WHISPER:
+            sender, offset, length = rest
+            seat.gateway.told(sender, bytes(batch.tail(offset, length)))
+        elif code == frames.SERVERS:
+            scope, _index, offset, count = rest
+            seat.server_list(scope, batch.entries(offset, count))
--- /dev/null
+++ b/brookhub/interface.py
@@ -0,0 +1,172 @@
+"""What the decisions in policy.py are told, in which types, and the port through which they act.
+
+Nothing here decides. Times are seconds, with fractions. Ids are for the door: inside, objects point to each other.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Callable, Protocol
+
+
+class Repeat(Enum):
+    """Whether a route's API calls may run again."""
+
+    IDEMPOTENT = "may run again"
+    TOKENED = "carries a mark by which a group of servers drops its repeats"
+    NON_IDEMPOTENT = "must never run twice"
+
+
+class Group(Enum):
+    """The servers that drop the repeats of a tokened API call."""
+
+    ALL = "all servers"
+    ZONE = "those of one zone"
+    CELL = "those of one cell"
+
+
+class Outcome(Enum):
+    """How an upstream try, a probe or a count ended."""
+
+    OK = "answered"
+    ERROR = "the server answered with an error"
+    FULL = "turned away unseen"
+    TIMEOUT = "no answer in time"
+    UNCONNECTED = "no connection in time"
+    RESET = "the connection broke"
+    CANCELLED = "cancelled here"
+    UNSENT = "never sent"
+
+
+class State(Enum):
+    """What the server list says of a server."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+@dataclass(frozen=True)
+class Route:
+    """A kind of API call. The target grows by `stretch` times an API call's own work where that is above 0."""
+
+    name: str
+    target: float
+    client_timeout: float
+    repeat: Repeat = Repeat.IDEMPOTENT
+    group: Group = Group.ALL
+    window: float = 0.0
+    value: float = 1.0
+    late_value: float = 0.0
+    streamed: bool = False
+    stretch: float = 0.0
+
+
+@dataclass(frozen=True)
+class Plan:
+    """A customer's plan: a store of `burst` units filled at `rate`, a cap on tries out, a hard ceiling; 0 is none."""
+
+    name: str
+    rate: float = 0.0
+    burst: float = 0.0
+    open_cap: int = 0
+    ceiling_rate: float = 0.0
+    ceiling_burst: float = 0.0
+    ceiling_slack: float = 0.0
+    value: float = 1.0
+    beyond_value: float = 0.0
+    beyond_cost: float = 0.0
+
+
+@dataclass(eq=False)
+class Server:
+    """One back-end server, as the server list tells it. `view` is the decisions' own record of it."""
+
+    id: int
+    zone: int = 0
+    cell: int = 0
+    kind: int = 0
+    weight: float = 1.0
+    state: State = State.READY
+    up_since: float = 0.0
+    view: Any = None
+
+
+@dataclass(eq=False)
+class Customer:
+    """Who pays for an API call. `account` is the decisions' own record."""
+
+    id: int
+    plan: Plan
+    account: Any = None
+
+
+@dataclass(eq=False)
+class ApiCall:
+    """One API call of a client, from its arrival to its one final answer. `rq` is the decisions' own record of it."""
+
+    id: int
+    customer: Customer
+    route: Route
+    expires: float
+    units: float = 1.0
+    gateways: int = 1
+    first_gateway: int = 0
+    repeated: bool = False
+    write: bool = False
+    tries: list["UpstreamTry"] = field(default_factory=list)
+    rq: Any = None
+
+
+@dataclass(eq=False)
+class UpstreamTry:
+    """One sending of an API call to a server."""
+
+    call: ApiCall
+    server: Server
+    number: int
+    sent: float
+    outcome: Outcome | None = None
+
+
+class Port(Protocol):
+    """How the decisions act on the world, and what time it is there."""
+
+    now: float
+
+    def send(self, call: ApiCall, server: Server, timeout: float) -> UpstreamTry:
+        """Start an upstream try; a timeout of 0 waits until the client leaves."""
+
+    def cancel(self, upstream: UpstreamTry) -> None:
+        """Stop waiting for a try; its end is still told."""
+
+    def rate_limit(self, call: ApiCall, retry_after: float) -> None:
+        """Final answer: it is safe to ask again, in so many seconds (0: no advice)."""
+
+    def error(self, call: ApiCall) -> None:
+        """Final answer: failed, with no promise whether it ran."""
+
+    def count(self, name: int, amount: float, lives: float, told: Callable[[Outcome, float, float], None]) -> None:
+        """Add to a named count that lasts `lives` seconds from its first add; `told(outcome, total, took)` follows."""
+
+    def probe(self, server: Server) -> None:
+        """Ask a server whether it is there; `Gateway.probed` follows."""
+
+    def tell(self, peer: int | None, data: bytes) -> None:
+        """A short message to one other gateway, or to all of them."""
+
+    def close_idle(self, server: Server) -> None:
+        """Close the idle connections to a server."""
+
+    def follow_servers(self, on: bool) -> None:
+        """Ask for the server list's changes from now on, or no more of them."""
+
+    def fetch_servers(self) -> None:
+        """Ask for the whole server list once."""
+
+    def later(self, seconds: float, callback: Callable[[], None]) -> None:
+        """Call back after so many seconds."""
+
+    def log(self, text: str) -> None:
+        """A line for the people on call."""
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,98 @@
+"""A stand-in for the world: a port whose clock the test moves, and servers that answer when the test says so."""
+
+from brookhub.interface import ApiCall, Customer, Outcome, Plan, Repeat, Route, Server, UpstreamTry
+from brookhub.policy import Gateway
+
+
+class World:
+    """One gateway, its port, and all it did."""
+
+    def __init__(self, seed=1, now=100.0, servers=3, counter="ok", **terms):
+        self.now, self.alarms, self.order = now, [], 0
+        self.counter, self.totals, self.counts = counter, {}, []
+        self.sent, self.out, self.answers, self.told_gone = [], [], {}, {}
+        self.calls = 0
+        self.terms = {
+            "routes": [Route("read", 1.0, 4.0)], "plans": [Plan("hard", 4.0, 8.0)], "zone": 0, "slot": 0,
+            "gateways": 2, "counter_wait": 0.05, "largest": 1.0, "trued_up": False, "max_tries": 3,
+            "second_copies": False, "may_cancel": True, "longest_retry_after": 2.0, "cold_from": 0.2,
+            "warm_after": 10.0, "fall_multiple": 2.0, "fall_within": 1.0, "asks_for_servers": False, "ask_within": 10.0,
+            **terms}
+        self.gateway = Gateway(self, seed, **self.terms)
+        self.servers = [Server(index, zone=index % 3) for index in range(servers)]
+        self.gateway.servers_told(self.servers)
+
+    # the port
+
+    def send(self, call, server, timeout):
+        one = UpstreamTry(call, server, len(call.tries), self.now)
+        one.timeout = timeout
+        call.tries.append(one)
+        self.sent.append(one)
+        self.out.append(one)
+        return one
+
+    def cancel(self, one):
+        self.later(0.001, lambda: self.end(one, Outcome.CANCELLED))
+
+    def rate_limit(self, call, retry_after):
+        self.answer(call, "rate-limited")
+
+    def error(self, call):
+        self.answer(call, "errored")
+
+    def answer(self, call, how):
+        assert call not in self.answers, "two final answers"
+        self.answers[call] = (how, self.now)
+
+    def count(self, name, amount, lives, told):
+        self.counts.append((name, amount))
+        if self.counter == "silent":
+            self.later(self.terms["counter_wait"], lambda: told(Outcome.TIMEOUT, 0.0, 0.05))
+        elif self.counter == "full":
+            self.later(0.001, lambda: told(Outcome.FULL, 0.0, 0.001))
+        else:
+            self.totals[name] = total = self.totals.get(name, 0.0) + amount
+            self.later(0.002, lambda: told(Outcome.OK, total, 0.002))
+
+    def probe(self, server): pass
+    def tell(self, peer, data): pass
+    def close_idle(self, server): pass
+    def follow_servers(self, on): pass
+    def fetch_servers(self): pass
+    def log(self, text): pass
+
+    def later(self, seconds, callback):
+        self.order += 1
+        self.alarms.append((self.now + max(0.0, seconds), self.order, callback))
+
+    # the test's side
+
+    def call(self, customer, route=0, units=1.0, gateways=2, patience=None):
+        self.calls += 1
+        route = self.terms["routes"][route]
+        call = ApiCall(self.calls, customer, route, self.now + (patience or route.client_timeout), units, gateways)
+        self.gateway.arrived(call)
+        return call
+
+    def customer(self, ident=1, plan=0):
+        return Customer(ident, self.terms["plans"][plan])
+
+    def end(self, one, outcome, charged=0.0):
+        if one.outcome is None:
+            one.outcome = outcome
+            self.out.remove(one)
+            final = outcome is Outcome.OK and one.call not in self.answers
+            if final:
+                self.answer(one.call, "proxied")
+            self.gateway.try_ended(one, self.now - one.sent, outcome is Outcome.OK, charged, None, {})
+
+    def run(self, seconds):
+        """Move the clock, step by step, through all that was asked for on the way."""
+        until = self.now + seconds
+        while self.alarms and min(self.alarms)[0] <= until:
+            due = min(self.alarms)
+            self.alarms.remove(due)
+            self.now = due[0]
+            due[2]()
+        self.now = until
