--- a/brookhub/interface.py
+++ b/brookhub/interface.py
@@ -128,6 +128,8 @@
     number: int
     sent: float
     outcome: Outcome | None = None
+    view: Any = None
+    doubted: bool = False
 
 
 class Port(Protocol):
