Take places from servers that answer very slowly, and send stuck ones nothing

Now first places are shared by the gateways, an answer beyond twice the slow limit costs more, and a server whose oldest try used up half its target gets nothing new. May harm: long honest work holds a server back.

--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -25,8 +25,8 @@
 OUTCOMES = 8  # last outcomes of a server that judge it: few, so that a failing one is noticed in a second or two
 FAILING = 0.5  # share of successes among them under which a server rests
 REST, REST_MOST = 1.0, 8.0  # s of rest, doubled up to this while it goes on failing: one that is back soon gets work
-PLACES = 2.0  # places at a server to begin with: enough for a quiet day, they follow its answers
-GAIN, LOSS = 0.1, 0.8  # places won by a quick answer, and what a slow one leaves: balanced at one slow in three
+PLACES = 6.0  # places at a server for all gateways together to begin with: a few cores' worth, they follow its answers
+GAIN, LOSS = 0.1, 0.25  # places won by a quick answer, and the least part that a slow one leaves
 CROWDED = 2.5  # times the usual delay at its best from which an answer is slow: servers should hold no lines
 SURE = 60.0  # answers in the mean before it counts as a best: the first to come are the quick ones
 RELAX = 0.01  # share by which that best rises each second, so that a fleet that slowed for good is served
@@ -445,15 +445,15 @@
 class Upstream:
     """What this gateway saw of a server: the last outcomes, its delay, its places, its rest."""
 
-    def __init__(self, server, now):
-        self.server, self.up_since, self.tries, self.places, self.free_at = server, server.up_since, [], PLACES, 0.0
+    def __init__(self, server, places, now):
+        self.server, self.up_since, self.tries, self.places, self.free_at = server, server.up_since, [], places, 0.0
         self.outcomes, self.good = deque([True] * (OUTCOMES // 2), OUTCOMES), 1.0
         self.took, self.ends, self.rest_until, self.rest = Fading(), Fading(), 0.0, REST
         self.cold = Store(0.0, 1.0, 0.0, now)  # tries that this gateway may send it while it is cold
 
     def open(self, now):
         """Whether a place is free. Less than one place is one that rests after each use."""
-        if now < self.rest_until:
+        if now < self.rest_until or self.tries and now - self.tries[0].sent > PATIENCE * self.tries[0].call.route.target:
             return False
         if self.places < 1 or self.good < FAILING:
             return not self.tries and now >= self.free_at
@@ -488,7 +488,7 @@
                 self.servers.remove(view)
                 view = server.view = None
             if view is None and server.state is State.READY:
-                server.view = Upstream(server, self.port.now)
+                server.view = Upstream(server, PLACES / self.gateways, self.port.now)
                 self.servers.append(server.view)
         self.line.pump()
 
@@ -590,9 +590,9 @@
             view.rest_until = now + view.rest  # after the rest, one try at a time until it does better
             view.rest = min(REST_MOST, view.rest * 2)
         # Places follow the answers: a server that is slow, for whatever reason, holds less, and the rest waits here.
-        slow = took > min(CROWDED * self.best, PATIENCE * one.call.route.target) if self.best else not good
-        if slow or outcome is Outcome.FULL:
-            view.places = max(0.1, view.places * LOSS)
+        limit = min(CROWDED * self.best or took, PATIENCE * one.call.route.target)
+        if took > limit or outcome is Outcome.FULL:
+            view.places = max(0.1, view.places * max(LOSS, min(0.8, 2 * limit / max(took, 1e-6))))
         elif good and len(view.tries) + 1 >= int(view.places):
             view.places += GAIN
         view.free_at = now + took * max(0.0, 1 / view.places - 1)
