--- a/brookhub/interface.py
+++ b/brookhub/interface.py
@@ -129,7 +129,6 @@
     sent: float
     outcome: Outcome | None = None
     view: Any = None
-    doubted: bool = False
 
 
 class Port(Protocol):
