--- a/brookhub/drill/frames.py
+++ b/brookhub/drill/frames.py
@@ -70,7 +70,7 @@
 
     def tail(self, offset: int, length: int) -> memoryview:
         if offset + length > len(self._tail):
-            raise WireError(f"batch {self.number}: bytes {offset}+{length} lie outside its tail of {len(self._tail)}")
+            raise WireError(f"batch {self.number}: bytes {offset}+{length} lie outside its tail")
         return self._tail[offset:offset + length]
 
     def entries(self, offset: int, count: int) -> list[tuple]:
--- a/brookhub/drill/host.py
+++ b/brookhub/drill/host.py
@@ -7,7 +7,7 @@
 from typing import BinaryIO, Callable
 from weakref import WeakValueDictionary
 
-from ..interface import ApiCall, Customer, Outcome, Server, State, UpstreamTry
+from ..interface import ApiCall, Customer, Outcome, Server, State, Told, UpstreamTry
 from ..policy import Gateway
 from . import frames, start
 from .frames import Batch, Reply, WireError
@@ -35,7 +35,7 @@
         self.servers: dict[int, Server] = {}
         self.customers: WeakValueDictionary[int, Customer] = WeakValueDictionary()
         self.alarms: dict[int, Callable[[], None]] = {}
-        self.counts: dict[int, list[Callable]] = {}
+        self.counts: dict[int, list[Told]] = {}
         self.mark = 0
         self.columns = list(start.part(info, "load_info").get("columns", []))
         terms = start.terms(info)
@@ -67,7 +67,7 @@
         self.act(frames.LOSE, call.id)
         self.release(call)
 
-    def count(self, name: int, amount: float, lives: float, told: Callable[[Outcome, float, float], None]) -> None:
+    def count(self, name: int, amount: float, lives: float, told: Told) -> None:
         self.counts.setdefault(name, []).append(told)
         self.act(frames.ADD_AND_GET, name, amount, lives)
 
@@ -104,7 +104,7 @@
     def arrival(self, ident: int, expires: float, units: float, plan: int, customer: int, spread: float,
                 first: float, bits: int, route: int) -> None:
         if plan >= len(self.plans) or route >= len(self.routes):
-            raise WireError(f"API call {ident} names plan {plan} and route {route}, which the settings do not hold")
+            raise WireError(f"API call {ident}: plan {plan} or route {route} is not in the settings")
         payer = self.customers.get(customer)
         if payer is None:
             payer = self.customers[customer] = Customer(customer, self.plans[plan])
@@ -125,7 +125,8 @@
             return
         upstream.outcome = named(OUTCOMES, code, "outcome")
         report = dict(zip(self.columns, values[:columns]))
-        self.gateway.try_ended(upstream, took, bool(final), float(charged), used - 1 if used else None, report)
+        use = used - 1 if used else None
+        self.gateway.try_ended(upstream, took, bool(final), float(charged), use, report)
         if final:
             self.release(upstream.call)
         elif upstream.call.id in self.calls and upstream.call.rq is None:
--- a/brookhub/drill/start.py
+++ b/brookhub/drill/start.py
@@ -1,4 +1,4 @@
-"""Reads the text of settings that a launch carries into the types of interface.py. Unknown keys are skipped."""
+"""Reads the settings that a launch carries into the types of interface.py. Unknown keys are skipped."""
 
 from __future__ import annotations
 
@@ -8,7 +8,8 @@
 from ..interface import Group, Plan, Repeat, Route
 from .frames import WireError
 
-REPEATS = {"read_like": Repeat.IDEMPOTENT, "idempotency_key": Repeat.TOKENED, "non_idempotent": Repeat.NON_IDEMPOTENT}
+REPEATS = {"read_like": Repeat.IDEMPOTENT, "idempotency_key": Repeat.TOKENED,
+           "non_idempotent": Repeat.NON_IDEMPOTENT}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 
 
@@ -53,7 +54,8 @@
 def routes(info: dict) -> list[Route]:
     return [Route(name=str(item.get("name", index)), target=number(item, "slo_s"),
                   client_timeout=number(item, "hard_limit_s"),
-                  repeat=word(REPEATS, item, "semantics", "read_like"), group=word(GROUPS, item, "key_scope", "all"),
+                  repeat=word(REPEATS, item, "semantics", "read_like"),
+                  group=word(GROUPS, item, "key_scope", "all"),
                   window=number(item, "window_s"), value=number(item, "importance", 1.0),
                   late_value=number(item, "late_value"), streamed=bool(item.get("stream", False)),
                   stretch=number(item, "aim_stretch"))
@@ -61,7 +63,8 @@
 
 
 def plans(info: dict) -> list[Plan]:
-    return [Plan(name=str(item.get("name", index)), rate=number(item, "refill"), burst=number(item, "store_size"),
+    return [Plan(name=str(item.get("name", index)), rate=number(item, "refill"),
+                 burst=number(item, "store_size"),
                  open_cap=int(number(item, "concurrency")), ceiling_rate=number(item, "ceiling_rate"),
                  ceiling_burst=number(item, "cap_depth"), ceiling_slack=number(item, "tolerance"),
                  value=number(item, "pays", 1.0), beyond_value=number(item, "excess_worth"),
@@ -84,7 +87,7 @@
         "max_tries": int(number(limits, "max_attempts", 1)),
         "second_copies": bool(limits.get("second_copies", False)),
         "may_cancel": bool(limits.get("cancel", False)),
-        "longest_retry_after": number(limits, "max_retry_after_s") if limits.get("retry_after", False) else 0.0,
+        "longest_retry_after": number(limits, "max_retry_after_s") if limits.get("retry_after") else 0.0,
         "cold_from": number(rules, "cold_from", 1.0),
         "warm_after": number(rules, "ramp_time_s"),
         "fall_multiple": number(rules, "fall_multiple", 1.0),
--- a/brookhub/interface.py
+++ b/brookhub/interface.py
@@ -1,6 +1,7 @@
 """What the decisions in policy.py are told, in which types, and the port through which they act.
 
-Nothing here decides. Times are seconds, with fractions. Ids are for the door: inside, objects point to each other.
+Nothing here decides. Times are seconds, with fractions. Ids are for the door: inside, objects point to each
+other.
 """
 
 from __future__ import annotations
@@ -49,7 +50,7 @@
 
 @dataclass(frozen=True)
 class Route:
-    """A kind of API call. The target grows by `stretch` times an API call's own work where that is above 0."""
+    """A kind of API call. Its target grows by `stretch` times its own work where that is above 0."""
 
     name: str
     target: float
@@ -65,7 +66,7 @@
 
 @dataclass(frozen=True)
 class Plan:
-    """A customer's plan: a store of `burst` units filled at `rate`, a cap on tries out, a hard ceiling; 0 is none."""
+    """A customer's plan: a store of `burst` units filled at `rate`, a cap on tries, a ceiling; 0: none."""
 
     name: str
     rate: float = 0.0
@@ -104,7 +105,7 @@
 
 @dataclass(eq=False)
 class ApiCall:
-    """One API call of a client, from its arrival to its one final answer. `rq` is the decisions' own record of it."""
+    """One API call of a client, up to its one final answer. `rq` is the decisions' own record of it."""
 
     id: int
     customer: Customer
@@ -131,6 +132,9 @@
     view: Any = None
 
 
+Told = Callable[[Outcome, float, float], None]  # how a count ended, its total, how long it took
+
+
 class Port(Protocol):
     """How the decisions act on the world, and what time it is there."""
 
@@ -148,8 +152,8 @@
     def error(self, call: ApiCall) -> None:
         """Final answer: failed, with no promise whether it ran."""
 
-    def count(self, name: int, amount: float, lives: float, told: Callable[[Outcome, float, float], None]) -> None:
-        """Add to a named count that lasts `lives` seconds from its first add; `told(outcome, total, took)` follows."""
+    def count(self, name: int, amount: float, lives: float, told: Told) -> None:
+        """Add to a named count that lasts `lives` seconds from its first add; `told` hears the total."""
 
     def probe(self, server: Server) -> None:
         """Ask a server whether it is there; `Gateway.probed` follows."""
--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -1,7 +1,7 @@
 """All decisions of brookhub, for one gateway process: fair-share-ceiling on each API call's path, and guards.
 
 Build one Gateway with a Port, a seed and the site's terms, and tell it what happens; it acts by the port.
-Types, port: interface.py. Reasons: docs/design.md. An API call passes Intake, Quota, Loans, Ceiling, Line, then
+Types: interface.py. Reasons: docs/design.md. An API call passes Intake, Quota, Loans, Ceiling, Line and then
 Upstreams; each passes it on, keeps it or ends it, and what comes back runs through them the other way.
 """
 
@@ -99,8 +99,6 @@
 
 
 class Stage:
-    """One step of the chain."""
-
     next = before = None
 
     def ended(self, rq, answer):
@@ -198,10 +196,9 @@
             account.unsaid += units
 
     def turn(self, account):
-        """Move to the current window, reading what the others still added to the last. Customers turn out of
-        step, so that they don't crowd the counter."""
-        length, shift = account.plan.burst / account.plan.rate, account.customer.id * 0.6180339887 % 1.0
-        index = floor(self.port.now / length + shift)
+        """Move to the current window (customers out of step), reading what others still added to the last."""
+        shift = account.customer.id * 0.6180339887 % 1.0
+        index = floor(self.port.now * account.plan.rate / account.plan.burst + shift)
         if index != account.window:
             if account.window is not None and self.may_ask():
                 self.say(account, 0.0)
@@ -276,14 +273,13 @@
             return False
         idle = [one for one in self.accounts if now - one.active > IDLE * self.horizon and not one.out]
         for lender in sorted(idle, key=self.free, reverse=True):
-            part = min(self.free(lender), units)
-            if part > 0:
-                loan.append((lender, part))
-                units -= part
-        if units <= 0:
-            rq.loan = loan
-            self.book(loan, 1)
-        return units <= 0
+            part = max(0.0, min(self.free(lender), units))
+            loan.append((lender, part))
+            units -= part
+        if units > 0:
+            return False
+        rq.loan = loan
+        return self.book(loan, 1)
 
     def free(self, account):
         """A guarantee, the gateway's slice of the rate times the horizon, less what is lent of it."""
@@ -292,6 +288,7 @@
     def book(self, loan, sign):
         for lender, part in loan:
             lender.lent += sign * part
+        return True
 
     def ended(self, rq, answer):
         if rq.loan:
@@ -340,7 +337,7 @@
     def too_long(self, rq):
         """Seconds of wait if the line can't meet the latency target, else 0."""
         delay = self.next.delay()
-        wait = len(self.waiting) * delay / max(1, self.next.out)
+        wait = len(self.waiting) * delay / max(1, sum(len(view.tries) for view in self.next.servers))
         return wait if self.port.now + wait + delay > rq.target_at else 0.0
 
     def take(self, rq):
@@ -348,25 +345,18 @@
         self.pump()
 
     def pump(self):
-        """Hand out what places are free; only one bound to a group of servers is passed over."""
-        kept, blocked = deque(), False
-        while self.waiting and not blocked:
-            rq = self.waiting.popleft()
-            view = None if rq.done else self.next.pick(rq)
+        """Hand out what places are free; tell at once what can't meet its latency target any more."""
+        waiting, self.waiting, blocked, delay = self.waiting, deque(), False, self.next.delay()
+        for rq in waiting:
+            view = None if rq.done or blocked else self.next.pick(rq)
             if view:
                 self.next.launch(rq, view)
+            elif not rq.done and self.port.now + delay > rq.target_at:
+                rq.wait = delay
+                self.next.ended(rq, "error" if rq.sent else "rate-limit")
             elif not rq.done:
-                kept.append(rq)
-                blocked = not rq.may_have_run()
-        self.waiting = kept + self.waiting
-
-    def sweep(self):
-        """What can't be answered within its latency target any more is told so at once."""
-        delay = self.next.delay()
-        for rq in [rq for rq in self.waiting if not rq.done and self.port.now + delay > rq.target_at]:
-            rq.wait = delay
-            self.next.ended(rq, "error" if rq.sent else "rate-limit")
-        self.pump()
+                self.waiting.append(rq)
+                blocked = blocked or not rq.may_have_run()
 
 
 class Upstream:
@@ -379,7 +369,7 @@
         self.cold = Store(0.0, 1.0, 0.0, now)  # tries that this gateway may send it while it is cold
 
     def open(self, now):
-        """Whether a place is free. One that fails or has under one place gets a try at a time, after a rest."""
+        """Whether a place is free. Who fails or has under one place gets a try at a time, after a rest."""
         if now < self.free_at or any(now - one.sent > PATIENCE * one.call.route.target for one in self.tries):
             return False
         return len(self.tries) < (1 if self.places < 1 or self.good < FAILING else int(self.places))
@@ -397,11 +387,10 @@
         self.port, self.dice, self.line, self.zone, self.gateways = port, dice, line, zone, gateways
         self.max_tries, self.may_cancel, self.horizon = max_tries, may_cancel, horizon
         self.cold_from, self.warm_after = cold
-        self.servers, self.out, self.best, self.best_at = [], 0, 0.0, 0.0
+        self.servers, self.best, self.best_at = [], 0.0, 0.0
         self.took, self.ends, self.further, self.helped, self.sends = (Fading() for _ in range(5))
 
-    def delay(self):
-        """Seconds that an answer takes in the mean, 0 while none is known."""
+    def delay(self):  # seconds that an answer takes in the mean, 0 while none is known
         return self.took.read(self.port.now) / max(1e-6, self.ends.read(self.port.now))
 
     def listed(self, servers):
@@ -416,8 +405,7 @@
         self.line.pump()
 
     def admits_cold(self, view):
-        """Cold budget, own share alone: the least warmth it has by now, times what this gateway sends a warm
-        server or, if that is more, its part of what one core bears."""
+        """Cold budget, own share alone: the least warmth, of what a warm server is sent or one core bears."""
         now, cold_until = self.port.now, self.warm_after if view.up_since else 0.0
         age = max(0.0, now - view.up_since)
         if age >= cold_until:
@@ -455,7 +443,6 @@
 
     def launch(self, rq, view):
         rq.sent = True
-        self.out += 1
         view.cold.level -= 1
         self.sends.add(self.port.now, 1)
         self.further.add(self.port.now, 1 if rq.call.tries else 0)
@@ -468,7 +455,6 @@
     def ended_try(self, one, took, final):
         """Book the end of a try, then answer or try further."""
         rq = one.call.rq
-        self.out -= 1
         one.view.tries.remove(one)
         self.judge(one.view, one, took)
         if rq:
@@ -501,14 +487,14 @@
             view.places = max(0.1, view.places * max(LOSS, min(0.8, 2 * limit / max(took, 1e-6))))
         elif good and len(view.tries) + 1 >= int(view.places):
             view.places += GAIN
-        rest = REST * (FAILING - view.good) / FAILING if not good else 0.0  # none is shut out for good
+        rest = 0.0 if good else REST * (1 - view.good / FAILING)  # none is shut out for good
         view.free_at = now + max(rest, took * (1 / view.places - 1))
 
     def may_try(self, rq):
         """Whether rules, time and recent luck allow a further try."""
-        now, call, ran = self.port.now, rq.call, rq.may_have_run()
-        if len(call.tries) >= self.max_tries or now + self.delay() > rq.target_at or not any(
-                self.group_allows(rq, view.server, ran) for view in self.servers):
+        now, ran = self.port.now, rq.may_have_run()
+        allowed = any(self.group_allows(rq, view.server, ran) for view in self.servers)
+        if len(rq.call.tries) >= self.max_tries or now + self.delay() > rq.target_at or not allowed:
             return False
         return self.dice.roll() < (self.helped.read(now) + 1) / (self.further.read(now) + 1)
 
@@ -519,9 +505,9 @@
         if view and view is not one.view and now + 2 * view.delay(now, self.delay()) < rq.target_at:
             self.port.cancel(one)
 
-    def give_up(self, rq):
+    def give_up(self, rq, left=False):
         """The client's patience is over, or it left: stop what is out and say so."""
-        if not rq.done and not rq.began:
+        if not rq.done and (left or not rq.began):
             for one in rq.out if self.may_cancel else ():
                 self.port.cancel(one)
             self.ended(rq, "error")
@@ -533,25 +519,22 @@
     def __init__(self, port, seed, *, routes, plans, zone, slot, gateways, counter_wait, largest, trued_up,
                  max_tries, second_copies, may_cancel, longest_retry_after, cold_from, warm_after,
                  fall_multiple, fall_within, asks_for_servers, ask_within):
-        needed = [("gateways", gateways), ("max_tries", max_tries)]
-        needed += [(f"{one.name}: target", one.target) for one in routes]
+        needed = [("gateways", gateways), ("max_tries", max_tries), *((one.name, one.target) for one in routes)]
         for name, value in needed + [(f"{one.name}: burst", one.burst) for one in plans if one.rate]:
             if not value > 0:
                 raise ValueError(f"{name} must be above 0, not {value}")
-        self.port, self.dice, self.launched = port, Dice(seed), port.now
-        self.trued_up, self.ask_within = trued_up, ask_within
-        horizon = max((route.target for route in routes), default=1.0)
-        self.line, self.quota = Line(port), Quota(port, self.dice, counter_wait, largest)
+        self.port, self.launched, self.trued_up, self.ask_within = port, port.now, trued_up, ask_within
+        dice, horizon = Dice(seed), max((route.target for route in routes), default=1.0)
+        self.line, self.quota = Line(port), Quota(port, dice, counter_wait, largest)
         self.intake, self.accounts = Intake(port, self.line, longest_retry_after), self.quota.accounts
-        self.upstreams = Upstreams(port, self.dice, self.line, zone, gateways, max_tries, may_cancel, horizon,
+        self.upstreams = Upstreams(port, dice, self.line, zone, gateways, max_tries, may_cancel, horizon,
                                    (cold_from, warm_after))
         chain = [self.intake, self.quota, Loans(port, self.line, self.accounts, horizon), Ceiling(port),
                  self.line, self.upstreams]
         for one, following in zip(chain, chain[1:]):
             one.next, following.before = following, one
-        self.follow = lambda: port.follow_servers(True)
         if asks_for_servers:
-            self.follow()
+            port.follow_servers(True)
         self.servers_told = self.upstreams.listed
         port.later(SWEEP, self.sweep)
 
@@ -560,7 +543,7 @@
         if self.accounts and self.accounts[0].active < old:
             self.accounts[:] = [one for one in self.accounts if one.active >= old or one.lent or one.out]
         self.quota.sweep()
-        self.line.sweep()
+        self.line.pump()
         self.port.later(SWEEP, self.sweep)
 
     def arrived(self, call):
@@ -572,9 +555,8 @@
         self.intake.take(Rq(call, customer.account, now))
 
     def answer_began(self, one, took):
-        """A streamed answer is the client's from here on; no time is up for it any more."""
         if one.call.rq:
-            one.call.rq.began = True
+            one.call.rq.began = True  # the answer is the client's from here on; no time is up for it
 
     def try_ended(self, one, took, final, charged, used, report):
         rq = one.call.rq
@@ -585,14 +567,12 @@
 
     def client_left(self, call):
         if call.rq:
-            call.rq.began = False
-            self.upstreams.give_up(call.rq)
+            self.upstreams.give_up(call.rq, left=True)
 
     def servers_unheard(self):
-        self.port.later(self.ask_within * (0.1 + 0.1 * self.dice.roll()), self.follow)
+        self.port.later(self.ask_within / 10, lambda: self.port.follow_servers(True))
 
-    def probed(self, server, outcome, took, report):
-        """Nothing probes: the answers to API calls tell more, and a probe pushes a cold server too."""
+    def probed(self, *heard):
+        """Unused, as are peers' messages: API calls tell more, and gateways talk through the counter."""
 
-    def told(self, sender, data):
-        """Gateways talk through the counter alone."""
+    told = probed
