--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -291,8 +291,7 @@
         return True
 
     def ended(self, rq, answer):
-        if rq.loan:
-            # Cut short, the work may go on at its server: the loan stays counted for one more horizon.
+        if rq.loan:  # cut short, the work may go on at its server: the loan counts for one more horizon
             wait = 0.0 if answer == "proxied" or not rq.may_have_run() else self.horizon
             self.port.later(wait, lambda loan=rq.loan: self.book(loan, -1))
             rq.loan = None
@@ -364,7 +363,7 @@
 
     def __init__(self, server, places, now):
         self.server, self.up_since, self.tries, self.places = server, server.up_since, [], places
-        self.outcomes, self.good, self.free_at = deque([True] * OUTCOMES, OUTCOMES), 1.0, 0.0
+        self.outcomes, self.good, self.free_at, self.seen = deque([True] * OUTCOMES, OUTCOMES), 1.0, 0.0, 0.0
         self.took, self.ends = Fading(), Fading()
         self.cold = Store(0.0, 1.0, 0.0, now)  # tries that this gateway may send it while it is cold
 
@@ -434,7 +433,8 @@
         for view in self.servers:
             server = view.server
             if view.open(now) and self.group_allows(rq, server, ran) and self.admits_cold(view):
-                cost = (len(view.tries) + 1) * view.delay(now, typical) / max(0.1, view.good)
+                good = max(0.1, view.good, min(1.0, (now - view.seen) / MEMORY))  # long unseen: a new chance
+                cost = (len(view.tries) + 1) * view.delay(now, typical) / good
                 cost *= (CROSS if server.zone != self.zone else 1.0) * (1 + 0.05 * self.dice.roll())
                 cost *= 4 ** tried.count(server)
                 if best is None or cost < least:
@@ -487,8 +487,8 @@
             view.places = max(0.1, view.places * max(LOSS, min(0.8, 2 * limit / max(took, 1e-6))))
         elif good and len(view.tries) + 1 >= int(view.places):
             view.places += GAIN
-        rest = 0.0 if good else REST * (1 - view.good / FAILING)  # none is shut out for good
-        view.free_at = now + max(rest, took * (1 / view.places - 1))
+        rest = 0.0 if good else REST * (1 - view.good / FAILING)
+        view.seen, view.free_at = now, now + max(rest, took * (1 / view.places - 1))
 
     def may_try(self, rq):
         """Whether rules, time and recent luck allow a further try."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,7 +1,7 @@
 """A stand-in for the world: a port whose clock the test moves, and servers that answer when the test says so."""
 
-from brookhub.interface import ApiCall, Customer, Outcome, Plan, Repeat, Route, Server, UpstreamTry
-from brookhub.policy import Gateway
+from brookhub.interface import ApiCall, Customer, Group, Outcome, Plan, Repeat, Route, Server, State, UpstreamTry
+from brookhub.policy import NEVER_RAN, Gateway
 
 
 class World:
@@ -25,17 +25,29 @@
     # the port
 
     def send(self, call, server, timeout):
+        assert call not in self.answers and self.now <= call.expires, "sent after the final answer"
+        assert server.state is State.READY, "sent to a server that drains or is gone"
+        ran = [other for other in call.tries if other.outcome not in NEVER_RAN]
+        assert self.terms["second_copies"] or all(other.outcome for other in call.tries), "two tries out"
+        if ran and call.route.repeat is not Repeat.IDEMPOTENT:
+            assert call.route.repeat is Repeat.TOKENED, "a non-idempotent call sent twice"
+            assert self.now < ran[0].sent + call.route.window, "a repeat after its window"
+            assert call.route.group is not Group.ZONE or server.zone == ran[0].server.zone, "a repeat left its zone"
+        assert len(call.tries) < self.terms["max_tries"]
         one = UpstreamTry(call, server, len(call.tries), self.now)
         one.timeout = timeout
         call.tries.append(one)
         self.sent.append(one)
         self.out.append(one)
+        self.later(min(timeout or 1e9, call.expires - self.now), lambda: self.end(one, Outcome.TIMEOUT))
         return one
 
     def cancel(self, one):
         self.later(0.001, lambda: self.end(one, Outcome.CANCELLED))
 
     def rate_limit(self, call, retry_after):
+        ran = [one for one in call.tries if one.outcome not in NEVER_RAN]
+        assert not ran or call.route.repeat is Repeat.IDEMPOTENT or call.route.group is Group.ALL
         self.answer(call, "rate-limited")
 
     def error(self, call):
@@ -43,6 +55,7 @@
 
     def answer(self, call, how):
         assert call not in self.answers, "two final answers"
+        assert self.now <= call.expires + 1e-6, "answered after the client timeout"
         self.answers[call] = (how, self.now)
 
     def count(self, name, amount, lives, told):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,22 +1,194 @@
-"""The rules of policy.py, without the bench: seeded random runs checked after every step, and plain cases."""
+"""The rules of policy.py, without the bench: seeded random runs checked at every step, and plain cases."""
 
-from brookhub.interface import Outcome
+import random
+
+import pytest
+
+from brookhub.interface import Group, Outcome, Plan, Repeat, Route, Server, State
+from brookhub.policy import IDLE, Loans
 
 from helpers import World
 
+ROUTES = [Route("read", 1.0, 3.0), Route("marked", 1.5, 4.0, Repeat.TOKENED, Group.ZONE, 2.0),
+          Route("marked-all", 1.5, 4.0, Repeat.TOKENED, Group.ALL, 1.0), Route("once", 1.0, 3.0, Repeat.NON_IDEMPOTENT)]
+PLANS = [Plan("hard", 4.0, 8.0, beyond_cost=1.0), Plan("soft", 2.0, 4.0, beyond_value=0.3),
+         Plan("capped", 6.0, 12.0, open_cap=4), Plan("ceiled", 6.0, 12.0, ceiling_rate=8.0, ceiling_burst=16.0)]
 
-def test_a_call_inside_the_quota_is_sent_and_answered():
-    world = World()
-    call = world.call(world.customer())
-    world.run(0.01)
-    world.end(world.sent[0], Outcome.OK)
-    assert world.answers[call][0] == "proxied"
+
+def loans_of(world):
+    return next(stage for stage in [world.gateway.intake.next.next] if isinstance(stage, Loans))
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_rules_hold_at_every_step_of_a_random_run(seed):
+    chance = random.Random(seed)
+    world = World(seed, servers=6, routes=ROUTES, plans=PLANS, largest=3.0, trued_up=seed % 2 == 0)
+    start, gateway, loans = world.now, world.gateway, loans_of(world)
+    payers = [world.customer(index, index % 4) for index in range(12)]
+    calls, told, drawn = [], world.gateway.servers_told, {}
+    for _ in range(600):
+        step = chance.random()
+        if step < 0.4:
+            calls.append(world.call(chance.choice(payers), chance.randrange(4), chance.choice([1.0, 2.0, 3.0]),
+                                    patience=chance.choice([None, 1.0])))
+        elif step < 0.75 and world.out:
+            end = chance.choices([Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.RESET, Outcome.UNCONNECTED],
+                                 [8, 2, 1, 1, 1])[0]
+            world.end(chance.choice(world.out), end, charged=chance.choice([1.0, 2.0]) if gateway.trued_up else 0.0)
+        elif step < 0.78:
+            server = chance.choice(world.servers)
+            server.state = chance.choice(list(State))
+            told([server])
+        elif step < 0.80:
+            server = chance.choice(world.servers)
+            server.state, server.up_since = State.READY, world.now - chance.random()
+            told([server])
+        elif step < 0.82:
+            world.counter = chance.choice(["ok", "silent", "full"])
+            world.totals = {} if chance.random() < 0.3 else world.totals
+        elif step < 0.83 and calls and calls[-1] not in world.answers:
+            gateway.client_left(calls[-1])
+        world.run(chance.choice([0.0, 0.005, 0.05, 0.2]))
+        # Ceiling: this gateway's half, which began empty, and no more.
+        for payer in payers[3::4]:
+            units = sum(one.call.units for one in world.sent if one.number == 0 and one.call.customer is payer)
+            assert units <= 8.0 + 4.0 * (world.now - start) + 1e-6
+        # Loans: never more than a guarantee, never without an owner, all whole, inside the horizon.
+        for account in gateway.accounts:
+            assert -1e-6 <= account.lent <= account.plan.rate / account.gateways * loans.horizon + 1e-6
+            out = sum(1 for call in calls if call.rq and call.rq.held and call.rq.account is account)
+            assert account.out == out
+            if account.plan.open_cap:
+                assert out <= 2
+        for call in calls:
+            if call.rq and call.rq.loan:
+                assert abs(sum(part for _, part in call.rq.loan) - call.units) < 1e-6
+                assert all(one.timeout <= loans.horizon for one in call.tries)
+    world.run(10.0)
+    assert all(call in world.answers for call in calls), "an API call without its final answer"
+    assert all(account.lent < 1e-6 and account.out == 0 for account in gateway.accounts)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_units_passed_inside_the_quota_never_pass_the_store(seed):
+    chance, world = random.Random(seed), World(seed, servers=20)
+    payer, start = world.customer(), world.now
+    for _ in range(400):
+        world.call(payer, units=chance.choice([1.0, 2.0]))
+        world.run(chance.choice([0.01, 0.05, 0.4]))
+        for one in list(world.out):
+            world.end(one, Outcome.OK)
+        units = sum(one.call.units for one in world.sent)
+        assert units <= 8.0 + 4.0 * (world.now - start) + 1e-6
+    assert units >= 0.8 * min(8.0 + 4.0 * (world.now - start), 600)
+
+
+def test_a_cold_server_gets_no_more_than_its_warmth_of_a_warm_ones_work():
+    world = World(servers=4, plans=[Plan("wide", 200.0, 400.0)])
+    cold = world.servers[0]
+    cold.up_since = world.now
+    world.gateway.servers_told([cold])
+    payer, window = world.customer(), []
+    for _ in range(400):
+        world.call(payer)
+        world.run(0.02)
+        for one in [one for one in world.out if world.now - one.sent > 0.03]:
+            world.end(one, Outcome.OK)
+        recent = [one for one in world.sent if one.sent > world.now - 1.0]
+        to_cold = sum(one.server is cold for one in recent)
+        assert to_cold <= 2.0 * 0.5 * len(recent) / 3 + 1, "more than a half-warm share at any second"
+    assert any(one.server is cold for one in world.sent), "shut out for good"
 
 
 def test_beyond_a_hard_plans_quota_calls_are_rate_limited_at_once():
-    world = World()
+    world = World(servers=8)
     payer = world.customer()
     calls = [world.call(payer) for _ in range(20)]
-    world.run(0.02)
-    limited = [call for call in calls if world.answers.get(call, ("", 0))[0] == "rate-limited"]
-    assert len(limited) == 12
+    world.run(0.03)
+    assert sum(world.answers.get(call, ("",))[0] == "rate-limited" for call in calls) == 12
+
+
+def test_an_idle_customer_lends_to_a_soft_plan_and_an_ask_freezes_it():
+    world = World(plans=[Plan("hard", 8.0, 16.0), Plan("soft", 1.0, 2.0, beyond_value=0.3)])
+    lender, borrower = world.customer(1, 0), world.customer(2, 1)
+    world.call(lender)
+    world.run(IDLE * 1.0 + 4.5)  # its call has timed out and it is idle for more than two horizons
+    calls = [world.call(borrower) for _ in range(4)]
+    world.run(0.05)
+    assert world.gateway.accounts[0].lent > 0
+    assert sum(one.timeout == 1.0 for one in world.sent) == sum(bool(call.rq and call.rq.loan) for call in calls) > 0
+    lent = world.gateway.accounts[0].lent
+    world.call(lender)
+    later = [world.call(borrower) for _ in range(4)]
+    world.run(0.05)
+    assert world.gateway.accounts[0].lent == lent, "lent after its ask"
+    assert all(world.answers[call][0] == "rate-limited" for call in later)
+
+
+def test_a_silent_counter_leaves_the_own_share():
+    world = World(servers=30)
+    payer = world.customer()
+    world.counter = "silent"
+    for _ in range(200):
+        world.call(payer)
+        world.run(0.05)
+    assert 0 < len(world.sent) <= 4.0 + 2.0 * 10.0 + 1
+
+
+def test_an_emptied_counter_gives_no_room_that_was_spent():
+    world = World(servers=30)
+    payer = world.customer()
+    for _ in range(20):
+        world.call(payer)
+        world.run(0.01)
+    world.totals.clear()
+    before = len(world.sent)
+    for _ in range(20):
+        world.call(payer)
+        world.run(0.01)
+    assert len(world.sent) - before <= 2
+
+
+def test_a_turned_away_add_is_said_again():
+    world = World()
+    payer = world.customer()
+    world.counter = "full"
+    world.run(2.0)
+    world.call(payer)
+    world.run(0.3)
+    world.counter = "ok"
+    world.call(payer)
+    world.run(2.0)
+    assert sum(world.totals.values()) == len({one.call for one in world.sent})
+
+
+def test_a_slow_server_keeps_fewer_places():
+    world = World(servers=2, plans=[Plan("wide", 400.0, 800.0)])
+    slow, payer = world.servers[0], world.customer()
+    for _ in range(600):
+        for _ in range(3):
+            world.call(payer)
+        world.run(0.02)
+        for one in [one for one in world.out if world.now - one.sent > (0.6 if one.server is slow else 0.05)]:
+            world.end(one, Outcome.OK)
+    assert slow.view.places < 1.0 < world.servers[1].view.places
+    assert any(one.server is slow and one.sent > world.now - 10 for one in world.sent), "shut out for good"
+
+
+def test_a_failing_server_rests_and_is_tried_again():
+    world = World(servers=2, plans=[Plan("wide", 400.0, 800.0)])
+    bad, payer = world.servers[0], world.customer()
+    for _ in range(900):
+        world.call(payer)
+        world.run(0.02)
+        for one in list(world.out):
+            world.end(one, Outcome.ERROR if one.server is bad else Outcome.OK)
+    late = [one for one in world.sent if one.sent > world.now - 14.0]
+    assert 0 < sum(one.server is bad for one in late) < len(late) / 10
+
+
+def test_unworkable_terms_are_refused_by_name():
+    with pytest.raises(ValueError, match="slow-lane"):
+        World(routes=[Route("slow-lane", 0.0, 1.0)])
+    with pytest.raises(ValueError, match="burst"):
+        World(plans=[Plan("broken", 1.0, 0.0)])
