--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -352,7 +352,7 @@
                 self.next.launch(rq, view)
             elif not rq.done and self.port.now + delay > rq.target_at:
                 rq.wait = delay
-                self.next.ended(rq, "error" if rq.sent else "rate-limit")
+                self.next.ended(rq, "rate-limit")
             elif not rq.done:
                 self.waiting.append(rq)
                 blocked = blocked or not rq.may_have_run()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -64,7 +64,7 @@
             self.later(self.terms["counter_wait"], lambda: told(Outcome.TIMEOUT, 0.0, 0.05))
         elif self.counter == "full":
             self.later(0.001, lambda: told(Outcome.FULL, 0.0, 0.001))
-        else:
+        elif self.counter == "ok":
             self.totals[name] = total = self.totals.get(name, 0.0) + amount
             self.later(0.002, lambda: told(Outcome.OK, total, 0.002))
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -118,13 +118,34 @@
     assert world.gateway.accounts[0].lent > 0
     assert sum(one.timeout == 1.0 for one in world.sent) == sum(bool(call.rq and call.rq.loan) for call in calls) > 0
     lent = world.gateway.accounts[0].lent
-    world.call(lender)
+    refused = world.call(lender, units=99.0)
+    assert world.answers[refused][0] == "rate-limited"
     later = [world.call(borrower) for _ in range(4)]
     world.run(0.05)
     assert world.gateway.accounts[0].lent == lent, "lent after its ask"
     assert all(world.answers[call][0] == "rate-limited" for call in later)
 
 
+def test_the_ceiling_is_kept_by_the_own_share_alone():
+    world = World(servers=30, plans=[Plan("ceiled", 50.0, 100.0, ceiling_rate=8.0, ceiling_burst=16.0)])
+    payer, start = world.customer(), world.now
+    world.run(1.0)
+    for _ in range(150):
+        world.call(payer)
+        world.run(0.02)
+        for one in list(world.out):
+            world.end(one, Outcome.OK)
+        assert len(world.sent) <= min(8.0, 4.0 * (world.now - start)) + 4.0 * (world.now - start)
+    assert len(world.sent) > 8
+
+
+def test_a_counter_that_never_answers_holds_no_call_beyond_its_client_timeout():
+    world = World(counter="lost")
+    call = world.call(world.customer())
+    world.run(5.0)
+    assert world.answers[call] == ("errored", call.expires)
+
+
 def test_a_silent_counter_leaves_the_own_share():
     world = World(servers=30)
     payer = world.customer()
