--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -78,7 +78,7 @@
         self.call, self.account, self.target_at = call, account, min(now + call.route.target, call.expires)
         self.counted = self.drawn = self.wait = 0.0  # units out of quota and ceiling; s to come back in
         self.loan, self.out = None, []  # (lender, units) pairs; tries out
-        self.beyond = self.held = self.sent = self.done = self.began = False
+        self.beyond = self.sent = self.done = self.began = False
 
     def may_have_run(self):
         return [one for one in self.call.tries if one.outcome not in NEVER_RAN]
@@ -269,7 +269,7 @@
         plan, now, units, loan = rq.account.plan, self.port.now, rq.call.units, []
         soft = plan.beyond_value > plan.beyond_cost and rq.call.route.target <= self.horizon
         # Loans fill what is free: they never wait in line before those inside their quota.
-        if not soft or self.line.waiting or not self.line.next.pick(rq):
+        if not soft or self.line.waiting or not self.next.room(rq) or not self.line.next.pick(rq):
             return False
         idle = [one for one in self.accounts if now - one.active > IDLE * self.horizon and not one.out]
         for lender in sorted(idle, key=self.free, reverse=True):
@@ -308,12 +308,9 @@
         account, plan, rq.wait = rq.account, rq.account.plan, 0.0
         if plan.ceiling_rate > 0:
             rq.wait = account.ceiling.wait(self.port.now, rq.call.units)
-        if plan.open_cap and account.out >= max(1, round(plan.open_cap / account.gateways)):
-            rq.wait = max(rq.wait, SWEEP)
         if not rq.wait:
-            rq.drawn, rq.held = rq.call.units, True
+            rq.drawn = rq.call.units
             account.ceiling.level -= rq.drawn
-            account.out += 1
             self.next.take(rq)
         elif rq.loan or self.port.now + rq.wait > rq.target_at:
             self.before.ended(rq, "rate-limit")
@@ -321,11 +318,14 @@
             self.port.later(rq.wait, lambda: rq.done or self.take(rq))
 
     def ended(self, rq, answer):
-        if rq.held:
-            rq.account.out -= 1
-            rq.account.ceiling.level += 0.0 if rq.sent else rq.drawn
+        rq.account.out -= rq.sent
+        rq.account.ceiling.level += 0.0 if rq.sent else rq.drawn
         self.before.ended(rq, answer)
 
+    def room(self, rq):  # asked as it is sent: what only waits in line does not fill the cap
+        account, cap = rq.account, rq.account.plan.open_cap
+        return not cap or rq.sent or account.out < max(1, round(cap / account.gateways))
+
 
 class Line(Stage):
     """Work waits here, and a server gets the next when one of its places comes free."""
@@ -347,7 +347,7 @@
         """Hand out what places are free; tell at once what can't meet its latency target any more."""
         waiting, self.waiting, blocked, delay = self.waiting, deque(), False, self.next.delay()
         for rq in waiting:
-            view = None if rq.done or blocked else self.next.pick(rq)
+            view = self.next.pick(rq) if not rq.done and not blocked and self.before.room(rq) else None
             if view:
                 self.next.launch(rq, view)
             elif not rq.done and self.port.now + delay > rq.target_at:
@@ -355,7 +355,7 @@
                 self.next.ended(rq, "rate-limit")
             elif not rq.done:
                 self.waiting.append(rq)
-                blocked = blocked or not rq.may_have_run()
+                blocked = blocked or not rq.may_have_run() and self.before.room(rq)
 
 
 class Upstream:
@@ -442,6 +442,7 @@
         return best
 
     def launch(self, rq, view):
+        rq.account.out += not rq.sent
         rq.sent = True
         view.cold.level -= 1
         self.sends.add(self.port.now, 1)
