--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -26,6 +26,7 @@
 CROWDED = 2.5  # times the usual delay at its best from which an answer is slow: servers should hold no lines
 SURE = 60.0  # answers in the mean before it counts as a best: the first to come are the quick ones
 RELAX = 0.01  # share by which that best rises each second, so that a fleet that slowed for good is served
+LINE = 0.5  # share of the latency target that line and answer may be thought to take: the rest is for chance
 PATIENCE = 0.5  # share of the latency target after which an answer is slow, and another server may do better
 MEMORY = 10.0  # s over which rates, delays and successes fade: several windows, shorter than most troubles
 CROSS = 1.3  # how much longer a server in another zone may seem: crossing costs, but less than a wait
@@ -337,7 +338,7 @@
         """Seconds of wait if the line can't meet the latency target, else 0."""
         delay = self.next.delay()
         wait = len(self.waiting) * delay / max(1, sum(len(view.tries) for view in self.next.servers))
-        return wait if self.port.now + wait + delay > rq.target_at else 0.0
+        return wait if wait + delay > LINE * (rq.target_at - self.port.now) else 0.0
 
     def take(self, rq):
         self.waiting.append(rq)
@@ -373,8 +374,7 @@
             return False
         return len(self.tries) < (1 if self.places < 1 or self.good < FAILING else int(self.places))
 
-    def delay(self, now, typical):
-        """Seconds that an answer takes: what it took of late, or the time that the oldest try has waited."""
+    def delay(self, now, typical):  # seconds that an answer takes, or that the oldest try has waited
         mean = (self.took.read(now) + typical) / (self.ends.read(now) + 1)
         return max(mean, now - self.tries[0].sent if self.tries else 0.0, 0.001)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -223,3 +223,18 @@
         World(routes=[Route("slow-lane", 0.0, 1.0)])
     with pytest.raises(ValueError, match="burst"):
         World(plans=[Plan("broken", 1.0, 0.0)])
+
+
+def test_a_line_that_eats_up_the_target_refuses_at_once_and_uncounted():
+    world = World(servers=1, plans=[Plan("wide", 400.0, 800.0)])
+    payer = world.customer()
+    for _ in range(100):
+        world.call(payer)
+        world.run(0.2)
+        for one in list(world.out):
+            world.end(one, Outcome.OK)
+    counted = sum(world.totals.values())
+    calls = [world.call(payer) for _ in range(60)]
+    assert world.answers[calls[-1]] == ("rate-limited", world.now)
+    world.run(0.4)
+    assert sum(world.totals.values()) - counted < len(calls) / 2
