--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -175,8 +175,8 @@
         fits = account.store.read(now) >= 0
         if outcome is not Outcome.OK:
             # No word: what came through here of late, of all that did, is the share to keep alone.
-            part = account.mine.read(now) / (account.all.read(now) or 1.0)
-            part = max(1 / account.gateways, min(1.0, part))
+            known = account.all.read(now)
+            part = min(1.0, account.mine.read(now) / known) if known > self.largest else 1 / account.gateways
             account.share.rate, account.share.depth = plan.rate * part, plan.burst * part
             fits = fits and account.share.read(now) >= 0
         if not fits:
