--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from brookhub.interface import Group, Outcome, Plan, Repeat, Route, Server, State
+from brookhub.interface import Group, Outcome, Plan, Repeat, Route, State
 from brookhub.policy import IDLE, Loans
 
 from helpers import World
