Let a share below one call save up to one, ask less for tight customers, pace the counter for any number

Cause: at full size an Nth of a burst is less than one call, so that without the counter's word every call was refused with room, and a floor of 10 calls a second for each of 100 gateways crowded the counter for good.

--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -6,23 +6,27 @@
 """
 
 from collections import deque
+from itertools import takewhile
 from math import exp, floor
 
 from .interface import Group, Outcome, Repeat, State
 
-SWEEP = 0.02  # s between looks at what waits: a small part of any latency target
+SWEEP = 0.02  # s between looks at a line that waits: a small part of any latency target
 BATCH = 0.15  # s, about, that units wait to be added in the background: far inside any window
 FRESH = 0.5  # s that a told total is word to go by: the room left may since have gone through another gateway
 LIVES = 3.0  # windows that a count is kept: the last one's end is still read in the next
 FORGET = 180.0  # s without an ask after which a customer's account is dropped: the design's "some minutes"
 IDLE = 2.0  # idle time in horizons: the design wants more than one, so a returner's freeze outlives any loan
 LOST = 2.0  # largest API calls by which a total may shrink (give-backs) before the counter counts as emptied
-PACE, PACE_LEAST = 100.0, 10.0  # counter calls a second at first; and at least, to notice when it is back
+PACE, PACE_LEAST = 20.0, 1.0  # counter calls a second at first; and at least, to notice when it is back
+QUICKER, SLOWER = 0.25, 0.8  # calls a second more for a quick answer; share kept after a late one, once a wait
+LATE = 0.4  # share of the counter's wait from which an answer counts as late: its line grows
 OUTCOMES = 8  # last outcomes of a server that judge it: few, so a failing one is noticed in a second or two
 FAILING = 0.5  # share of successes among them under which a server rests and then gets one try at a time
 REST = 4.0  # s of rest after a failure for one that only fails, less for one that fails less
 PLACES = 6.0  # places at a server at first, for all gateways together: a few cores' worth
 GAIN, LOSS = 0.1, 0.25  # places won by a quick answer, and the least part that a slow one leaves
+BACKOFF = 10.0  # s, about, that a customer told to be without room is left to the own share, at most
 CROWDED = 2.5  # times the usual delay at its best from which an answer is slow: servers should hold no lines
 SURE = 60.0  # answers in the mean before it counts as a best: the first to come are the quick ones
 RELAX = 0.03  # share by which that best rises each second, so that a fleet that slowed for good is served
@@ -88,14 +92,17 @@
 class Account:
     """What this gateway knows of a customer: the quota as far as told, its share of it, loans of its room."""
 
-    def __init__(self, customer, gateways, now, launched):
+    def __init__(self, customer, gateways, largest, now, launched):
         plan, part = customer.plan, 1.0 / gateways
         self.customer, self.plan, self.gateways, self.active = customer, plan, gateways, now
         self.store = Store(plan.rate, plan.burst, plan.burst, now)
         # A launch may be a restart: what an earlier life spent is unknown, so the own shares start empty.
-        self.share = Store(plan.rate * part, plan.burst * part, 0.0, now)
+        # A share below one API call saves up until it holds one, and begins with what an Nth lacks of that.
+        self.share = Store(plan.rate * part, max(plan.burst * part, largest),
+                           max(0.0, largest - plan.burst * part), now)
         self.ceiling = Store(plan.ceiling_rate * part, plan.ceiling_burst * part, 0.0, launched)
-        self.window, self.total, self.unsaid, self.due, self.doubtful, self.told_at = None, 0.0, 0.0, 0.0, 0.0, now
+        self.window, self.total, self.unsaid, self.due, self.doubtful = None, 0.0, 0.0, False, 0.0
+        self.told_at, self.hold, self.backoff = -FORGET, 0.0, 0.0
         self.mine, self.all = Fading(), Fading()  # units that went through here, and through all gateways
         self.lent, self.out, self.asking, self.queue = 0.0, 0, False, []
 
@@ -134,7 +141,7 @@
 
     def __init__(self, port, dice, counter_wait, largest):
         self.port, self.dice, self.counter_wait, self.largest = port, dice, counter_wait, largest
-        self.accounts, self.slowed = [], 0.0
+        self.accounts, self.slowed = {}, 0.0  # accounts in the order of their last ask or end of a try
         self.pace = Store(PACE, max(2.0, PACE * counter_wait), PACE * counter_wait, port.now)
 
     def take(self, rq, ask=True):
@@ -147,7 +154,7 @@
             return self.beyond(rq)
         if ask and account.asking and not inside:
             return account.queue.append(rq)  # one answer of the counter serves all who wait for it
-        asks = not inside and ask and self.may_ask()
+        asks = not inside and ask and now >= account.hold and self.may_ask()
         self.spend(rq, units, not asks)
         if inside:  # pass, and add in the background
             self.next.take(rq)
@@ -177,8 +184,11 @@
             # No word: what came through here of late, of all that did, is the share to keep alone.
             known = account.all.read(now)
             part = min(1.0, account.mine.read(now) / known) if known > self.largest else 1 / account.gateways
-            account.share.rate, account.share.depth = plan.rate * part, plan.burst * part
+            account.share.rate, account.share.depth = plan.rate * part, max(plan.burst * part, self.largest)
             fits = fits and account.share.read(now) >= 0
+        else:  # who has no room is not asked for again for a while: longer each time
+            account.backoff = 0.0 if fits else max(plan.burst / plan.rate, min(BACKOFF, 2 * account.backoff))
+            account.hold = now + account.backoff * (0.5 + self.dice.roll())
         if not fits:
             self.spend(rq, -rq.counted, outcome is not Outcome.TIMEOUT)  # or it might be taken off unadded
         self.next.take(rq) if fits else self.beyond(rq)
@@ -192,18 +202,34 @@
         account, rq.counted = rq.account, rq.counted + units
         account.store.level -= units
         account.share.level -= units
-        if say:
-            account.due = account.due if account.unsaid else self.port.now + BATCH * (0.5 + self.dice.roll())
+        if say and units:
             account.unsaid += units
+            self.say_later(account)
+
+    def say_later(self, account):
+        if not account.due:
+            account.due = True
+            self.port.later(BATCH * (0.5 + self.dice.roll()), lambda: self.flush(account))
+
+    def flush(self, account):
+        """Background adds, as far as the pace leaves room beside the asks."""
+        account.due = False
+        if account.unsaid and self.may_ask(0.5):
+            self.say(account, 0.0)
+        elif account.unsaid:
+            self.say_later(account)
 
     def turn(self, account):
         """Move to the current window (customers out of step), reading what others still added to the last."""
-        shift = account.customer.id * 0.6180339887 % 1.0
-        index = floor(self.port.now * account.plan.rate / account.plan.burst + shift)
+        now, window = self.port.now, account.plan.burst / account.plan.rate
+        at = now / window + account.customer.id * 0.6180339887 % 1.0
+        index = floor(at)
         if index != account.window:
-            if account.window is not None and self.may_ask():
+            if index - 1 == account.window and self.may_ask(0.5):
                 self.say(account, 0.0)
-            account.window, account.total, account.doubtful = index, 0.0, 0.0
+            account.window, account.total, account.doubtful, account.unsaid = index, 0.0, 0.0, 0.0
+            if now - account.active < window:
+                self.port.later((index + 1 - at) * window + 0.001, lambda: self.turn(account))
 
     def say(self, account, amount, then=None):
         """Add to the count, with whatever waits to be added; the total that comes back is what all added."""
@@ -212,17 +238,19 @@
 
         def told(outcome, total, took):
             pace, now = self.pace, self.port.now
-            if outcome is Outcome.OK:  # quickens the pace a little; all else slows it, once for each wait
-                pace.rate += 0.5
+            if outcome is Outcome.OK and took < LATE * self.counter_wait:
+                pace.rate += QUICKER
+            elif now >= self.slowed:  # once for each wait
+                pace.rate, self.slowed = max(PACE_LEAST, pace.rate * SLOWER), now + self.counter_wait
+            if outcome is Outcome.OK:
                 current = window == account.window
                 self.learn(account, amount, total - (account.total if current else before) - amount)
                 account.total = total if current else account.total
-            elif now >= self.slowed:
-                pace.rate, self.slowed = max(PACE_LEAST, pace.rate * 0.7), now + self.counter_wait
-            if outcome is Outcome.TIMEOUT:
+            elif outcome is Outcome.TIMEOUT:
                 account.doubtful += amount  # it may have been added: seen again, it is not others' use
-            elif outcome is not Outcome.OK:
+            elif window == account.window:
                 account.unsaid += amount
+                self.say_later(account)
             pace.depth = max(2.0, pace.rate * self.counter_wait)
             if then:
                 then(outcome)
@@ -239,18 +267,10 @@
         account.mine.add(now, max(0.0, amount))
         account.all.add(now, max(0.0, amount + others - own))
         store.level = max(-self.largest, store.read(now) - others + own)
-        share.rate, share.depth = store.rate / account.gateways, store.depth / account.gateways
-        share.level, share.at, account.told_at = store.level / account.gateways, now, now
-
-    def sweep(self):
-        """Background adds, as far as the pace allows, and window turns of those who were here of late."""
-        now = self.port.now
-        for account in self.accounts:
-            if account.window is not None and self.may_ask(0.5):
-                if now - account.active < account.plan.burst / account.plan.rate:
-                    self.turn(account)
-                if account.unsaid and now >= account.due and self.may_ask(0.5):
-                    self.say(account, 0.0)
+        share.rate, share.depth = store.rate / account.gateways, max(store.depth / account.gateways, self.largest)
+        # Where an Nth is less than an API call, one more may pass unasked while half of the store is there.
+        credit = self.largest if 2 * store.level > store.depth else 0.0
+        share.level, share.at, account.told_at = max(store.level / account.gateways, credit), now, now
 
     def ended(self, rq, answer):
         self.spend(rq, 0.0 if rq.sent else -rq.counted)
@@ -272,7 +292,8 @@
         # Loans fill what is free: they never wait in line before those inside their quota.
         if not soft or self.line.waiting or not self.next.room(rq) or not self.line.next.pick(rq):
             return False
-        idle = [one for one in self.accounts if now - one.active > IDLE * self.horizon and not one.out]
+        quiet = takewhile(lambda one: now - one.active > IDLE * self.horizon, self.accounts)
+        idle = [one for one in quiet if not one.out and self.free(one) > 0]
         for lender in sorted(idle, key=self.free, reverse=True):
             part = max(0.0, min(self.free(lender), units))
             loan.append((lender, part))
@@ -332,12 +353,12 @@
     """Work waits here, and a server gets the next when one of its places comes free."""
 
     def __init__(self, port):
-        self.port, self.waiting = port, deque()
+        self.port, self.waiting, self.ticking = port, deque(), False
 
     def too_long(self, rq):
         """Seconds of wait if the line can't meet the latency target, else 0."""
         delay = self.next.delay()
-        wait = len(self.waiting) * delay / max(1, sum(len(view.tries) for view in self.next.servers))
+        wait = len(self.waiting) * delay / max(1, self.next.out)
         return wait if wait + delay > LINE * (rq.target_at - self.port.now) else 0.0
 
     def take(self, rq):
@@ -357,6 +378,13 @@
             elif not rq.done:
                 self.waiting.append(rq)
                 blocked = blocked or not rq.may_have_run() and self.before.room(rq)
+        if self.waiting and not self.ticking:
+            self.ticking = True
+            self.port.later(SWEEP, self.tick)
+
+    def tick(self):
+        self.ticking = False
+        self.pump()
 
 
 class Upstream:
@@ -386,7 +414,7 @@
         self.port, self.dice, self.line, self.zone, self.gateways = port, dice, line, zone, gateways
         self.max_tries, self.may_cancel, self.horizon = max_tries, may_cancel, horizon
         self.cold_from, self.warm_after = cold
-        self.servers, self.best, self.best_at = [], 0.0, 0.0
+        self.servers, self.best, self.best_at, self.out = [], 0.0, 0.0, 0
         self.took, self.ends, self.further, self.helped, self.sends = (Fading() for _ in range(5))
 
     def delay(self):  # seconds that an answer takes in the mean, 0 while none is known
@@ -450,6 +478,7 @@
         one = self.port.send(rq.call, view.server, self.horizon if rq.loan else 0.0)
         one.view = view
         view.tries.append(one)
+        self.out += 1
         rq.out.append(one)
         self.port.later(PATIENCE * rq.call.route.target, lambda: self.doubt(rq, one))
 
@@ -457,6 +486,7 @@
         """Book the end of a try, then answer or try further."""
         rq = one.call.rq
         one.view.tries.remove(one)
+        self.out -= 1
         self.judge(one.view, one, took)
         if rq:
             rq.out = [other for other in rq.out if other is not one]
@@ -537,22 +567,21 @@
         if asks_for_servers:
             port.follow_servers(True)
         self.servers_told = self.upstreams.listed
-        port.later(SWEEP, self.sweep)
 
-    def sweep(self):
-        old = self.port.now - FORGET
-        if self.accounts and self.accounts[0].active < old:
-            self.accounts[:] = [one for one in self.accounts if one.active >= old or one.lent or one.out]
-        self.quota.sweep()
-        self.line.pump()
-        self.port.later(SWEEP, self.sweep)
+    def touch(self, account):
+        """Any ask or end of a try, refused or not, makes a customer active and freezes new loans on it."""
+        account.active = self.port.now
+        self.accounts.pop(account, None)
+        self.accounts[account] = None
+        oldest = next(iter(self.accounts))  # whoever was longest without; it is looked at again if it still matters
+        if oldest.active < self.port.now - FORGET and not oldest.lent and not oldest.out:
+            del self.accounts[oldest]
 
     def arrived(self, call):
         now, customer = self.port.now, call.customer
         if customer.account not in self.accounts:
-            customer.account = Account(customer, call.gateways, now, self.launched)
-            self.accounts.append(customer.account)
-        customer.account.active = now  # an ask counts even when refused: it freezes new loans on its customer
+            customer.account = Account(customer, call.gateways, self.quota.largest, now, self.launched)
+        self.touch(customer.account)
         self.intake.take(Rq(call, customer.account, now))
 
     def answer_began(self, one, took):
@@ -562,7 +591,7 @@
     def try_ended(self, one, took, final, charged, used, report):
         rq = one.call.rq
         if rq:
-            rq.account.active = self.port.now
+            self.touch(rq.account)
             self.quota.spend(rq, charged - rq.counted if self.trued_up and charged and rq.counted else 0.0)
         self.upstreams.ended_try(one, took, final)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -115,14 +115,14 @@
     world.run(IDLE * 1.0 + 4.5)  # its call has timed out and it is idle for more than two horizons
     calls = [world.call(borrower) for _ in range(4)]
     world.run(0.05)
-    assert world.gateway.accounts[0].lent > 0
+    assert next(iter(world.gateway.accounts)).lent > 0
     assert sum(one.timeout == 1.0 for one in world.sent) == sum(bool(call.rq and call.rq.loan) for call in calls) > 0
-    lent = world.gateway.accounts[0].lent
+    lent = next(iter(world.gateway.accounts)).lent
     refused = world.call(lender, units=99.0)
     assert world.answers[refused][0] == "rate-limited"
     later = [world.call(borrower) for _ in range(4)]
     world.run(0.05)
-    assert world.gateway.accounts[0].lent == lent, "lent after its ask"
+    assert next(iter(world.gateway.accounts)).lent == lent, "lent after its ask"
     assert all(world.answers[call][0] == "rate-limited" for call in later)
 
 
