Keep each gateway to a part of the fleet, with places shared by those that use a server

Cause: each of 100 gateways won about five places at every server, so ageing servers jammed the whole fleet; and it saw each server too seldom to judge it.

--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -18,17 +18,19 @@
 FORGET = 180.0  # s without an ask after which a customer's account is dropped: the design's "some minutes"
 IDLE = 2.0  # idle time in horizons: the design wants more than one, so a returner's freeze outlives any loan
 LOST = 2.0  # largest API calls by which a total may shrink (give-backs) before the counter counts as emptied
-PACE, PACE_LEAST = 20.0, 1.0  # counter calls a second at first; and at least, to notice when it is back
+PACE, PACE_LEAST = 100.0, 1.0  # counter calls a second at first; and at least, to notice when it is back
 QUICKER, SLOWER = 0.25, 0.8  # calls a second more for a quick answer; share kept after a late one, once a wait
 LATE = 0.4  # share of the counter's wait from which an answer counts as late: its line grows
 OUTCOMES = 8  # last outcomes of a server that judge it: few, so a failing one is noticed in a second or two
 FAILING = 0.5  # share of successes among them under which a server rests and then gets one try at a time
 REST = 4.0  # s of rest after a failure for one that only fails, less for one that fails less
-PLACES = 6.0  # places at a server at first, for all gateways together: a few cores' worth
-GAIN, LOSS = 0.1, 0.25  # places won by a quick answer, and the least part that a slow one leaves
+PLACES = 6.0  # places at a server at first, for all gateways that use it together: a few cores' worth
+GAIN, LEAST, LOSS = 0.05, 0.05, 0.25  # shares of those won by a quick answer and kept at least; kept by a slow one
+PART, SEEN = 12, 2.5  # servers that a gateway uses at least; s between its tries at each, to know it well
+REDRAW = 1.0  # s between looks at that part: far less than it takes to judge a server
 BACKOFF = 10.0  # s, about, that a customer told to be without room is left to the own share, at most
 CROWDED = 2.5  # times the usual delay at its best from which an answer is slow: servers should hold no lines
-SURE = 60.0  # answers in the mean before it counts as a best: the first to come are the quick ones
+SURE = 20.0  # answers in the mean before it counts as a best: the first to come are the quick ones
 RELAX = 0.03  # share by which that best rises each second, so that a fleet that slowed for good is served
 LINE = 0.5  # share of the latency target that line and answer may be thought to take: the rest is for chance
 PATIENCE = 0.5  # share of the latency target after which an answer is slow, and another server may do better
@@ -390,11 +392,13 @@
 class Upstream:
     """What this gateway saw of a server: the last outcomes, its delay, its places, its rest."""
 
-    def __init__(self, server, places, now):
-        self.server, self.up_since, self.tries, self.places = server, server.up_since, [], places
+    def __init__(self, server, places, phase, now):
+        self.server, self.up_since, self.tries, self.places, self.first = server, server.up_since, [], places, places
         self.outcomes, self.good, self.free_at, self.seen = deque([True] * OUTCOMES, OUTCOMES), 1.0, 0.0, 0.0
         self.took, self.ends = Fading(), Fading()
-        self.cold = Store(0.0, 1.0, 0.0, now)  # tries that this gateway may send it while it is cold
+        # Tries that this gateway may send it while cold. It begins with a part of one by chance: gateways that
+        # all learn of the server at once, each with a small part of its budget, must not all try it at once.
+        self.cold = Store(0.0, 1.0, phase, now)
 
     def open(self, now):
         """Whether a place is free. Who fails or has under one place gets a try at a time, after a rest."""
@@ -402,6 +406,9 @@
             return False
         return len(self.tries) < (1 if self.places < 1 or self.good < FAILING else int(self.places))
 
+    def sound(self):
+        return self.good >= FAILING and 2 * self.places >= self.first
+
     def delay(self, now, typical):  # seconds that an answer takes, or that the oldest try has waited
         mean = (self.took.read(now) + typical) / (self.ends.read(now) + 1)
         return max(mean, now - self.tries[0].sent if self.tries else 0.0, 0.001)
@@ -410,11 +417,12 @@
 class Upstreams(Stage):
     """Chooses servers, sends, judges them, and decides on further tries."""
 
-    def __init__(self, port, dice, line, zone, gateways, max_tries, may_cancel, horizon, cold):
-        self.port, self.dice, self.line, self.zone, self.gateways = port, dice, line, zone, gateways
+    def __init__(self, port, dice, line, zone, slot, gateways, max_tries, may_cancel, horizon, cold):
+        self.port, self.dice, self.line, self.zone, self.slot, self.gateways = port, dice, line, zone, slot, gateways
         self.max_tries, self.may_cancel, self.horizon = max_tries, may_cancel, horizon
         self.cold_from, self.warm_after = cold
         self.servers, self.best, self.best_at, self.out = [], 0.0, 0.0, 0
+        self.part, self.peers, self.warm, self.drawn_at = [], gateways, 0, 0.0
         self.took, self.ends, self.further, self.helped, self.sends = (Fading() for _ in range(5))
 
     def delay(self):  # seconds that an answer takes in the mean, 0 while none is known
@@ -427,21 +435,40 @@
                 self.servers.remove(server.view)
                 server.view = None
             if server.view is None and server.state is State.READY:
-                server.view = Upstream(server, PLACES / self.gateways, self.port.now)
+                server.view = Upstream(server, PLACES / self.peers, self.dice.roll(), self.port.now)
                 self.servers.append(server.view)
+        self.servers.sort(key=lambda view: view.server.id)
+        self.draw()
         self.line.pump()
 
+    def draw(self):
+        """This gateway's part of the fleet: a stretch of the ring of servers, so long that it knows each well.
+
+        It begins by the gateway's number, so that all parts together cover the ring evenly; what fails or is
+        slow is made up for from further along.
+        """
+        now, count, sound = self.port.now, len(self.servers), 0
+        size = max(PART, self.sends.read(now) / MEMORY * SEEN)
+        start, self.part, self.drawn_at = floor(self.slot * 0.6180339887 % 1.0 * count), [], now
+        for view in self.servers[start:] + self.servers[:start]:
+            if sound < size:
+                self.part.append(view)
+                sound += view.sound()
+        self.peers = max(1.0, self.gateways * len(self.part) / max(1, count))
+        self.warm = sum(self.is_warm(view) for view in self.part)
+
+    def is_warm(self, view):
+        return not view.up_since or self.port.now - view.up_since >= self.warm_after
+
     def admits_cold(self, view):
         """Cold budget, own share alone: the least warmth, of what a warm server is sent or one core bears."""
-        now, cold_until = self.port.now, self.warm_after if view.up_since else 0.0
-        age = max(0.0, now - view.up_since)
-        if age >= cold_until:
+        if self.is_warm(view):
             return True
-        warm = sum(not other.up_since or now - other.up_since >= cold_until for other in self.servers)
-        usual = self.sends.read(now) / MEMORY / warm if warm else 0.0
-        warmth = self.cold_from + (1 - self.cold_from) * age / cold_until
+        now = self.port.now
+        usual = self.sends.read(now) / MEMORY / self.warm if self.warm else 0.0
+        warmth = self.cold_from + (1 - self.cold_from) * max(0.0, now - view.up_since) / self.warm_after
         view.cold.read(now)
-        view.cold.rate = warmth * COLD_SHARE * max(usual, 1 / max(self.delay(), 0.05) / self.gateways)
+        view.cold.rate = warmth * COLD_SHARE * max(usual, 1 / max(self.delay(), 0.05) / self.peers)
         return view.cold.level >= 1
 
     def group_allows(self, rq, server, ran):
@@ -458,7 +485,9 @@
         """The free place where an answer should come soonest, or None."""
         now, typical, best, least = self.port.now, self.delay(), None, 0.0
         ran, tried = rq.may_have_run(), [one.server for one in rq.call.tries]
-        for view in self.servers:
+        if now - self.drawn_at >= REDRAW:
+            self.draw()
+        for view in self.part:
             server = view.server
             if view.open(now) and self.group_allows(rq, server, ran) and self.admits_cold(view):
                 good = max(0.1, view.good, min(1.0, (now - view.seen) / MEMORY))  # long unseen: a new chance
@@ -501,8 +530,8 @@
 
     def judge(self, view, one, took):
         now, outcome, good = self.port.now, one.outcome, one.outcome is Outcome.OK
-        if outcome in (Outcome.UNSENT, Outcome.CANCELLED):
-            return
+        if outcome is Outcome.UNSENT or outcome is Outcome.CANCELLED and took < PATIENCE * one.call.route.target:
+            return  # what was cancelled for its slowness counts as slow, whether work or answer is lost
         if outcome is not Outcome.FULL:
             view.outcomes.extend([good] * (2 if outcome is Outcome.UNCONNECTED else 1))
             view.good = sum(view.outcomes) / OUTCOMES
@@ -515,16 +544,16 @@
         # Places follow the answers: a server that is slow, for whatever reason, holds less; work waits here.
         limit = min(CROWDED * self.best or took, PATIENCE * one.call.route.target)
         if took > limit or outcome is Outcome.FULL:
-            view.places = max(0.1, view.places * max(LOSS, min(0.8, 2 * limit / max(took, 1e-6))))
+            view.places = max(LEAST * view.first, view.places * max(LOSS, min(0.8, 2 * limit / max(took, 1e-6))))
         elif good and len(view.tries) + 1 >= int(view.places):
-            view.places += GAIN
+            view.places += GAIN * view.first
         rest = 0.0 if good else REST * (1 - view.good / FAILING)
-        view.seen, view.free_at = now, now + max(rest, took * (1 / view.places - 1))
+        view.seen, view.free_at = now, now + max(rest, min(MEMORY, took * (1 / view.places - 1)))
 
     def may_try(self, rq):
         """Whether rules, time and recent luck allow a further try."""
         now, ran = self.port.now, rq.may_have_run()
-        allowed = any(self.group_allows(rq, view.server, ran) for view in self.servers)
+        allowed = any(self.group_allows(rq, view.server, ran) for view in self.part)
         if len(rq.call.tries) >= self.max_tries or now + self.delay() > rq.target_at or not allowed:
             return False
         return self.dice.roll() < (self.helped.read(now) + 1) / (self.further.read(now) + 1)
@@ -558,7 +587,7 @@
         dice, horizon = Dice(seed), max((route.target for route in routes), default=1.0)
         self.line, self.quota = Line(port), Quota(port, dice, counter_wait, largest)
         self.intake, self.accounts = Intake(port, self.line, longest_retry_after), self.quota.accounts
-        self.upstreams = Upstreams(port, dice, self.line, zone, gateways, max_tries, may_cancel, horizon,
+        self.upstreams = Upstreams(port, dice, self.line, zone, slot, gateways, max_tries, may_cancel, horizon,
                                    (cold_from, warm_after))
         chain = [self.intake, self.quota, Loans(port, self.line, self.accounts, horizon), Ceiling(port),
                  self.line, self.upstreams]
