--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -18,14 +18,14 @@
 FORGET = 180.0  # s without an ask after which a customer's account is dropped: the design's "some minutes"
 IDLE = 2.0  # idle time in horizons: the design wants more than one, so a returner's freeze outlives any loan
 LOST = 2.0  # largest API calls by which a total may shrink (give-backs) before the counter counts as emptied
-PACE, PACE_LEAST = 100.0, 1.0  # counter calls a second at first; and at least, to notice when it is back
-QUICKER, SLOWER = 0.25, 0.8  # calls a second more for a quick answer; share kept after a late one, once a wait
+PACE, PACE_LEAST = 100.0, 0.2  # counter calls a second at first; share of those wanted that go on in any case
+QUICKER, SLOWER = 0.02, 0.8  # share of those wanted won by a quick answer; kept after a late one, once a wait
 LATE = 0.4  # share of the counter's wait from which an answer counts as late: its line grows
 OUTCOMES = 8  # last outcomes of a server that judge it: few, so a failing one is noticed in a second or two
 FAILING = 0.5  # share of successes among them under which a server rests and then gets one try at a time
 REST = 4.0  # s of rest after a failure for one that only fails, less for one that fails less
 PLACES = 6.0  # places at a server at first, for all gateways that use it together: a few cores' worth
-GAIN, LEAST, LOSS = 0.05, 0.05, 0.25  # shares of those won by a quick answer and kept at least; kept by a slow one
+GAIN, LEAST, LOSS = 0.3, 0.05, 0.25  # places won by a quick answer, for all; shares kept at least, by a slow one
 PART, SEEN = 12, 2.5  # servers that a gateway uses at least; s between its tries at each, to know it well
 REDRAW = 1.0  # s between looks at that part: far less than it takes to judge a server
 BACKOFF = 10.0  # s, about, that a customer told to be without room is left to the own share, at most
@@ -99,9 +99,9 @@
         self.customer, self.plan, self.gateways, self.active = customer, plan, gateways, now
         self.store = Store(plan.rate, plan.burst, plan.burst, now)
         # A launch may be a restart: what an earlier life spent is unknown, so the own shares start empty.
-        # A share below one API call saves up until it holds one, and begins with what an Nth lacks of that.
-        self.share = Store(plan.rate * part, max(plan.burst * part, largest),
-                           max(0.0, largest - plan.burst * part), now)
+        self.share = Store(plan.rate * part, plan.burst * part, 0.0, now)
+        # Where an Nth is less than one API call, one may pass unasked if the counter can't be asked.
+        self.credit = largest if plan.burst * part < largest else 0.0
         self.ceiling = Store(plan.ceiling_rate * part, plan.ceiling_burst * part, 0.0, launched)
         self.window, self.total, self.unsaid, self.due, self.doubtful = None, 0.0, 0.0, False, 0.0
         self.told_at, self.hold, self.backoff = -FORGET, 0.0, 0.0
@@ -143,7 +143,7 @@
 
     def __init__(self, port, dice, counter_wait, largest):
         self.port, self.dice, self.counter_wait, self.largest = port, dice, counter_wait, largest
-        self.accounts, self.slowed = {}, 0.0  # accounts in the order of their last ask or end of a try
+        self.accounts, self.slowed, self.wanted = {}, 0.0, Fading()  # accounts in the order of their last ask or end of a try
         self.pace = Store(PACE, max(2.0, PACE * counter_wait), PACE * counter_wait, port.now)
 
     def take(self, rq, ask=True):
@@ -156,7 +156,9 @@
             return self.beyond(rq)
         if ask and account.asking and not inside:
             return account.queue.append(rq)  # one answer of the counter serves all who wait for it
-        asks = not inside and ask and now >= account.hold and self.may_ask()
+        self.wanted.add(now, 0.0 if inside else 1.0)
+        # Where calls are scarce, a client's repeat comes last: it was refused or failed a moment ago.
+        asks = not inside and ask and now >= account.hold and self.may_ask(0.5 if rq.call.repeated else 0.0)
         self.spend(rq, units, not asks)
         if inside:  # pass, and add in the background
             self.next.take(rq)
@@ -184,10 +186,14 @@
         fits = account.store.read(now) >= 0
         if outcome is not Outcome.OK:
             # No word: what came through here of late, of all that did, is the share to keep alone.
-            known = account.all.read(now)
-            part = min(1.0, account.mine.read(now) / known) if known > self.largest else 1 / account.gateways
-            account.share.rate, account.share.depth = plan.rate * part, max(plan.burst * part, self.largest)
-            fits = fits and account.share.read(now) >= 0
+            # A burst's worth of even use stands in for what was not seen.
+            part = (max(0.0, account.mine.read(now)) + plan.burst / account.gateways) / (
+                max(0.0, account.all.read(now)) + plan.burst)
+            share = account.share
+            share.rate, share.depth = plan.rate * min(1.0, part), max(plan.burst * min(1.0, part), self.largest)
+            if fits and share.read(now) < 0 and account.credit >= rq.counted:
+                share.level, account.credit = share.level + rq.counted, 0.0
+            fits = fits and share.read(now) >= 0
         else:  # who has no room is not asked for again for a while: longer each time
             account.backoff = 0.0 if fits else max(plan.burst / plan.rate, min(BACKOFF, 2 * account.backoff))
             account.hold = now + account.backoff * (0.5 + self.dice.roll())
@@ -241,9 +247,9 @@
         def told(outcome, total, took):
             pace, now = self.pace, self.port.now
             if outcome is Outcome.OK and took < LATE * self.counter_wait:
-                pace.rate += QUICKER
+                pace.rate += QUICKER * self.wanted.read(now) / MEMORY
             elif now >= self.slowed:  # once for each wait
-                pace.rate, self.slowed = max(PACE_LEAST, pace.rate * SLOWER), now + self.counter_wait
+                pace.rate, self.slowed = max(0.5, PACE_LEAST * self.wanted.read(now) / MEMORY, pace.rate * SLOWER), now + self.counter_wait
             if outcome is Outcome.OK:
                 current = window == account.window
                 self.learn(account, amount, total - (account.total if current else before) - amount)
@@ -266,13 +272,12 @@
             others = 0.0  # an emptied counter: what this gateway knew of the store still stands
         own = min(max(others, 0.0), max(account.doubtful, 0.0))
         account.doubtful -= own
-        account.mine.add(now, max(0.0, amount))
-        account.all.add(now, max(0.0, amount + others - own))
+        account.mine.add(now, amount)
+        account.all.add(now, amount + others - own)
         store.level = max(-self.largest, store.read(now) - others + own)
-        share.rate, share.depth = store.rate / account.gateways, max(store.depth / account.gateways, self.largest)
-        # Where an Nth is less than an API call, one more may pass unasked while half of the store is there.
-        credit = self.largest if 2 * store.level > store.depth else 0.0
-        share.level, share.at, account.told_at = max(store.level / account.gateways, credit), now, now
+        share.rate, share.depth = store.rate / account.gateways, store.depth / account.gateways
+        share.level, share.at, account.told_at = store.level / account.gateways, now, now
+        account.credit = self.largest if share.depth < self.largest and 2 * store.level > store.depth else 0.0
 
     def ended(self, rq, answer):
         self.spend(rq, 0.0 if rq.sent else -rq.counted)
@@ -435,7 +440,7 @@
                 self.servers.remove(server.view)
                 server.view = None
             if server.view is None and server.state is State.READY:
-                server.view = Upstream(server, PLACES / self.peers, self.dice.roll(), self.port.now)
+                server.view = Upstream(server, max(1.0, PLACES / self.peers), self.dice.roll(), self.port.now)
                 self.servers.append(server.view)
         self.servers.sort(key=lambda view: view.server.id)
         self.draw()
@@ -546,7 +551,7 @@
         if took > limit or outcome is Outcome.FULL:
             view.places = max(LEAST * view.first, view.places * max(LOSS, min(0.8, 2 * limit / max(took, 1e-6))))
         elif good and len(view.tries) + 1 >= int(view.places):
-            view.places += GAIN * view.first
+            view.places += GAIN / self.peers
         rest = 0.0 if good else REST * (1 - view.good / FAILING)
         view.seen, view.free_at = now, now + max(rest, min(MEMORY, took * (1 / view.places - 1)))
 
