Hold all tries out of a gateway by the fleet's delay; leave a customer without room alone for a while

Cause: a hundred gateways with a place each at a dozen servers jam the fleet when a third of it ages; one gateway sees a server seldom, but the fleet often. Covers everything slow, overload, too much beyond quotas; may refuse too early where a quarter of good answers is slow by nature.

--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -18,7 +18,7 @@
 FORGET = 180.0  # s without an ask after which a customer's account is dropped: the design's "some minutes"
 IDLE = 2.0  # idle time in horizons: the design wants more than one, so a returner's freeze outlives any loan
 LOST = 2.0  # largest API calls by which a total may shrink (give-backs) before the counter counts as emptied
-PACE, PACE_LEAST = 100.0, 0.2  # counter calls a second at first; share of those wanted that go on in any case
+PACE, PACE_LEAST = 20.0, 0.2  # counter calls a second at first; share of those wanted that go on in any case
 QUICKER, SLOWER = 0.02, 0.8  # share of those wanted won by a quick answer; kept after a late one, once a wait
 LATE = 0.4  # share of the counter's wait from which an answer counts as late: its line grows
 OUTCOMES = 8  # last outcomes of a server that judge it: few, so a failing one is noticed in a second or two
@@ -27,8 +27,9 @@
 PLACES = 6.0  # places at a server at first, for all gateways that use it together: a few cores' worth
 GAIN, LEAST, LOSS = 0.3, 0.05, 0.25  # places won by a quick answer, for all; shares kept at least, by a slow one
 PART, SEEN = 12, 2.5  # servers that a gateway uses at least; s between its tries at each, to know it well
+WIDEN, NARROW = 1.03, 0.9  # factors on the tries out in all for a quick and a slow answer: a quarter may be slow
 REDRAW = 1.0  # s between looks at that part: far less than it takes to judge a server
-BACKOFF = 10.0  # s, about, that a customer told to be without room is left to the own share, at most
+HOLD = 5.0  # s, about, at most, for which no more is asked for a customer told to be without room: a spike is over
 CROWDED = 2.5  # times the usual delay at its best from which an answer is slow: servers should hold no lines
 SURE = 20.0  # answers in the mean before it counts as a best: the first to come are the quick ones
 RELAX = 0.03  # share by which that best rises each second, so that a fleet that slowed for good is served
@@ -104,7 +105,7 @@
         self.credit = largest if plan.burst * part < largest else 0.0
         self.ceiling = Store(plan.ceiling_rate * part, plan.ceiling_burst * part, 0.0, launched)
         self.window, self.total, self.unsaid, self.due, self.doubtful = None, 0.0, 0.0, False, 0.0
-        self.told_at, self.hold, self.backoff = -FORGET, 0.0, 0.0
+        self.told_at, self.hold = -FORGET, 0.0
         self.mine, self.all = Fading(), Fading()  # units that went through here, and through all gateways
         self.lent, self.out, self.asking, self.queue = 0.0, 0, False, []
 
@@ -152,13 +153,13 @@
             return self.next.take(rq)
         self.turn(account)
         inside = account.share.read(now) >= units and now - account.told_at < FRESH
-        if account.store.read(now) < units:
+        if account.store.read(now) < units or now < account.hold:
             return self.beyond(rq)
         if ask and account.asking and not inside:
             return account.queue.append(rq)  # one answer of the counter serves all who wait for it
         self.wanted.add(now, 0.0 if inside else 1.0)
         # Where calls are scarce, a client's repeat comes last: it was refused or failed a moment ago.
-        asks = not inside and ask and now >= account.hold and self.may_ask(0.5 if rq.call.repeated else 0.0)
+        asks = not inside and ask and self.may_ask(0.5 if rq.call.repeated else 0.0)
         self.spend(rq, units, not asks)
         if inside:  # pass, and add in the background
             self.next.take(rq)
@@ -191,12 +192,13 @@
                 max(0.0, account.all.read(now)) + plan.burst)
             share = account.share
             share.rate, share.depth = plan.rate * min(1.0, part), max(plan.burst * min(1.0, part), self.largest)
-            if fits and share.read(now) < 0 and account.credit >= rq.counted:
+            if fits and share.read(now) < 0 and account.credit >= rq.counted and not rq.call.repeated:
                 share.level, account.credit = share.level + rq.counted, 0.0
             fits = fits and share.read(now) >= 0
-        else:  # who has no room is not asked for again for a while: longer each time
-            account.backoff = 0.0 if fits else max(plan.burst / plan.rate, min(BACKOFF, 2 * account.backoff))
-            account.hold = now + account.backoff * (0.5 + self.dice.roll())
+        elif not fits:
+            # Until the own share of the rate has saved up half a call, all others will have used what comes.
+            wait = min(HOLD, rq.call.units * account.gateways / plan.rate / 2)
+            account.hold = now + wait * (0.5 + self.dice.roll())
         if not fits:
             self.spend(rq, -rq.counted, outcome is not Outcome.TIMEOUT)  # or it might be taken off unadded
         self.next.take(rq) if fits else self.beyond(rq)
@@ -427,6 +429,7 @@
         self.max_tries, self.may_cancel, self.horizon = max_tries, may_cancel, horizon
         self.cold_from, self.warm_after = cold
         self.servers, self.best, self.best_at, self.out = [], 0.0, 0.0, 0
+        self.window = 4.0 * PART  # tries out in all: one gateway sees each server seldom, but the fleet often
         self.part, self.peers, self.warm, self.drawn_at = [], gateways, 0, 0.0
         self.took, self.ends, self.further, self.helped, self.sends = (Fading() for _ in range(5))
 
@@ -492,6 +495,8 @@
         ran, tried = rq.may_have_run(), [one.server for one in rq.call.tries]
         if now - self.drawn_at >= REDRAW:
             self.draw()
+        if self.out >= self.window:
+            return None
         for view in self.part:
             server = view.server
             if view.open(now) and self.group_allows(rq, server, ran) and self.admits_cold(view):
@@ -546,6 +551,11 @@
         if good and self.ends.sum > SURE:
             relaxed = self.best * (1 + RELAX * (now - self.best_at))
             self.best, self.best_at = min(self.delay(), relaxed or self.delay()), now
+        # So do all tries out together: when the whole fleet is slow, the gateways hold less, each by its own answers.
+        if good and took > CROWDED * self.best > 0:
+            self.window = max(1.0, min(self.window, self.out + 1) * NARROW)
+        elif good and 2 * self.out >= self.window:
+            self.window *= WIDEN
         # Places follow the answers: a server that is slow, for whatever reason, holds less; work waits here.
         limit = min(CROWDED * self.best or took, PATIENCE * one.call.route.target)
         if took > limit or outcome is Outcome.FULL:
