--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -18,7 +18,7 @@
 FORGET = 180.0  # s without an ask after which a customer's account is dropped: the design's "some minutes"
 IDLE = 2.0  # idle time in horizons: the design wants more than one, so a returner's freeze outlives any loan
 LOST = 2.0  # largest API calls by which a total may shrink (give-backs) before the counter counts as emptied
-PACE, PACE_LEAST = 20.0, 0.2  # counter calls a second at first; share of those wanted that go on in any case
+PACE, PACE_LEAST = 50.0, 0.2  # counter calls a second at first; share of those wanted that go on in any case
 QUICKER, SLOWER = 0.02, 0.8  # share of those wanted won by a quick answer; kept after a late one, once a wait
 LATE = 0.4  # share of the counter's wait from which an answer counts as late: its line grows
 OUTCOMES = 8  # last outcomes of a server that judge it: few, so a failing one is noticed in a second or two
@@ -27,7 +27,7 @@
 PLACES = 6.0  # places at a server at first, for all gateways that use it together: a few cores' worth
 GAIN, LEAST, LOSS = 0.3, 0.05, 0.25  # places won by a quick answer, for all; shares kept at least, by a slow one
 PART, SEEN = 12, 2.5  # servers that a gateway uses at least; s between its tries at each, to know it well
-WIDEN, NARROW = 1.03, 0.9  # factors on the tries out in all for a quick and a slow answer: a quarter may be slow
+WIDEN, NARROW = 1.05, 0.9  # factors on the tries out in all for a quick and a slow answer: a third may be slow
 REDRAW = 1.0  # s between looks at that part: far less than it takes to judge a server
 HOLD = 5.0  # s, about, at most, for which no more is asked for a customer told to be without room: a spike is over
 CROWDED = 2.5  # times the usual delay at its best from which an answer is slow: servers should hold no lines
@@ -145,7 +145,7 @@
     def __init__(self, port, dice, counter_wait, largest):
         self.port, self.dice, self.counter_wait, self.largest = port, dice, counter_wait, largest
         self.accounts, self.slowed, self.wanted = {}, 0.0, Fading()  # accounts in the order of their last ask or end of a try
-        self.pace = Store(PACE, max(2.0, PACE * counter_wait), PACE * counter_wait, port.now)
+        self.pace = Store(PACE, max(4.0, PACE * counter_wait), 4.0, port.now)
 
     def take(self, rq, ask=True):
         account, units, now = rq.account, rq.call.units, self.port.now
@@ -261,7 +261,7 @@
             elif window == account.window:
                 account.unsaid += amount
                 self.say_later(account)
-            pace.depth = max(2.0, pace.rate * self.counter_wait)
+            pace.depth = max(4.0, pace.rate * self.counter_wait)
             if then:
                 then(outcome)
 
