Count the try that ends as out, so that a window of one widens again

Cause: at a window of one nothing was ever 'at the window', so gateways kept to one try for good while servers idled.

--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -554,7 +554,7 @@
         # So do all tries out together: when the whole fleet is slow, the gateways hold less, each by its own answers.
         if good and took > CROWDED * self.best > 0:
             self.window = max(1.0, min(self.window, self.out + 1) * NARROW)
-        elif good and 2 * self.out >= self.window:
+        elif good and 2 * self.out + 2 >= self.window:
             self.window *= WIDEN
         # Places follow the answers: a server that is slow, for whatever reason, holds less; work waits here.
         limit = min(CROWDED * self.best or took, PATIENCE * one.call.route.target)
