--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -20,16 +20,17 @@
 LOST = 2.0  # largest API calls by which a total may shrink (give-backs) before the counter counts as emptied
 PACE, PACE_LEAST = 50.0, 0.2  # counter calls a second at first; share of those wanted that go on in any case
 QUICKER, SLOWER = 0.02, 0.8  # share of those wanted won by a quick answer; kept after a late one, once a wait
+AT_ONCE = 4.0  # counter calls at one stroke at least: a few customers' calls that come together
 LATE = 0.4  # share of the counter's wait from which an answer counts as late: its line grows
 OUTCOMES = 8  # last outcomes of a server that judge it: few, so a failing one is noticed in a second or two
 FAILING = 0.5  # share of successes among them under which a server rests and then gets one try at a time
 REST = 4.0  # s of rest after a failure for one that only fails, less for one that fails less
 PLACES = 6.0  # places at a server at first, for all gateways that use it together: a few cores' worth
-GAIN, LEAST, LOSS = 0.3, 0.05, 0.25  # places won by a quick answer, for all; shares kept at least, by a slow one
+GAIN, LEAST, LOSS = 0.3, 0.05, 0.25  # places won by a quick answer, by all; shares kept at least, if slow
 PART, SEEN = 12, 2.5  # servers that a gateway uses at least; s between its tries at each, to know it well
-WIDEN, NARROW = 1.05, 0.9  # factors on the tries out in all for a quick and a slow answer: a third may be slow
+WIDEN, NARROW = 1.05, 0.9  # factors on all tries out for a quick and a slow answer: a third may be slow
 REDRAW = 1.0  # s between looks at that part: far less than it takes to judge a server
-HOLD = 5.0  # s, about, at most, for which no more is asked for a customer told to be without room: a spike is over
+HOLD = 5.0  # s, about, at most, that a customer told to be without room is left alone: a spike is over
 CROWDED = 2.5  # times the usual delay at its best from which an answer is slow: servers should hold no lines
 SURE = 20.0  # answers in the mean before it counts as a best: the first to come are the quick ones
 RELAX = 0.03  # share by which that best rises each second, so that a fleet that slowed for good is served
@@ -104,10 +105,9 @@
         # Where an Nth is less than one API call, one may pass unasked if the counter can't be asked.
         self.credit = largest if plan.burst * part < largest else 0.0
         self.ceiling = Store(plan.ceiling_rate * part, plan.ceiling_burst * part, 0.0, launched)
-        self.window, self.total, self.unsaid, self.due, self.doubtful = None, 0.0, 0.0, False, 0.0
-        self.told_at, self.hold = -FORGET, 0.0
+        self.window, self.total, self.unsaid, self.told_at, self.hold = None, 0.0, 0.0, -FORGET, 0.0
         self.mine, self.all = Fading(), Fading()  # units that went through here, and through all gateways
-        self.lent, self.out, self.asking, self.queue = 0.0, 0, False, []
+        self.lent, self.out = 0.0, 0
 
 
 class Stage:
@@ -144,10 +144,10 @@
 
     def __init__(self, port, dice, counter_wait, largest):
         self.port, self.dice, self.counter_wait, self.largest = port, dice, counter_wait, largest
-        self.accounts, self.slowed, self.wanted = {}, 0.0, Fading()  # accounts in the order of their last ask or end of a try
-        self.pace = Store(PACE, max(4.0, PACE * counter_wait), 4.0, port.now)
+        self.slowed, self.wanted = 0.0, Fading()
+        self.pace = Store(PACE, AT_ONCE, AT_ONCE, port.now)
 
-    def take(self, rq, ask=True):
+    def take(self, rq):
         account, units, now = rq.account, rq.call.units, self.port.now
         if account.plan.rate <= 0:
             return self.next.take(rq)
@@ -155,17 +155,14 @@
         inside = account.share.read(now) >= units and now - account.told_at < FRESH
         if account.store.read(now) < units or now < account.hold:
             return self.beyond(rq)
-        if ask and account.asking and not inside:
-            return account.queue.append(rq)  # one answer of the counter serves all who wait for it
         self.wanted.add(now, 0.0 if inside else 1.0)
         # Where calls are scarce, a client's repeat comes last: it was refused or failed a moment ago.
-        asks = not inside and ask and self.may_ask(0.5 if rq.call.repeated else 0.0)
+        asks = not inside and self.may_ask(0.5 if rq.call.repeated else 0.0)
         self.spend(rq, units, not asks)
         if inside:  # pass, and add in the background
             self.next.take(rq)
         elif asks:  # beyond the share: add first, and pass while the total leaves room
-            account.asking = True
-            self.say(account, units, lambda outcome: self.answered(rq, outcome))
+            self.say(account, units, lambda outcome: rq.done or self.decide(rq, outcome))
         else:
             self.decide(rq, Outcome.UNSENT)
 
@@ -173,25 +170,14 @@
         """Calls keep to a pace that the counter answers; a crowd of them would only time out."""
         return self.counter_wait > 0 and self.pace.read(self.port.now) >= 1 + spare * self.pace.depth
 
-    def answered(self, rq, outcome):
-        account = rq.account
-        account.asking, queue, account.queue = False, account.queue, []
-        if not rq.done:
-            self.decide(rq, outcome)
-        for other in queue:
-            if not other.done:
-                self.take(other, ask=outcome is Outcome.OK)
-
     def decide(self, rq, outcome):
         account, plan, now = rq.account, rq.account.plan, self.port.now
         fits = account.store.read(now) >= 0
         if outcome is not Outcome.OK:
-            # No word: what came through here of late, of all that did, is the share to keep alone.
-            # A burst's worth of even use stands in for what was not seen.
-            part = (max(0.0, account.mine.read(now)) + plan.burst / account.gateways) / (
-                max(0.0, account.all.read(now)) + plan.burst)
-            share = account.share
-            share.rate, share.depth = plan.rate * min(1.0, part), max(plan.burst * min(1.0, part), self.largest)
+            # No word: the share is what came here of late of all use, with a burst's worth of even use added.
+            share, mine, known = account.share, max(0.0, account.mine.read(now)), max(0.0, account.all.read(now))
+            part = min(1.0, (mine + plan.burst / account.gateways) / (known + plan.burst))
+            share.rate, share.depth = plan.rate * part, max(plan.burst * part, self.largest)
             if fits and share.read(now) < 0 and account.credit >= rq.counted and not rq.call.repeated:
                 share.level, account.credit = share.level + rq.counted, 0.0
             fits = fits and share.read(now) >= 0
@@ -212,22 +198,20 @@
         account, rq.counted = rq.account, rq.counted + units
         account.store.level -= units
         account.share.level -= units
-        if say and units:
-            account.unsaid += units
-            self.say_later(account)
+        if say:
+            self.owe(account, units)
 
-    def say_later(self, account):
-        if not account.due:
-            account.due = True
+    def owe(self, account, units):
+        if units and not account.unsaid:
             self.port.later(BATCH * (0.5 + self.dice.roll()), lambda: self.flush(account))
+        account.unsaid += units
 
     def flush(self, account):
         """Background adds, as far as the pace leaves room beside the asks."""
-        account.due = False
         if account.unsaid and self.may_ask(0.5):
             self.say(account, 0.0)
         elif account.unsaid:
-            self.say_later(account)
+            self.port.later(BATCH, lambda: self.flush(account))
 
     def turn(self, account):
         """Move to the current window (customers out of step), reading what others still added to the last."""
@@ -237,7 +221,7 @@
         if index != account.window:
             if index - 1 == account.window and self.may_ask(0.5):
                 self.say(account, 0.0)
-            account.window, account.total, account.doubtful, account.unsaid = index, 0.0, 0.0, 0.0
+            account.window, account.total, account.unsaid = index, 0.0, 0.0
             if now - account.active < window:
                 self.port.later((index + 1 - at) * window + 0.001, lambda: self.turn(account))
 
@@ -247,21 +231,18 @@
         self.pace.level -= 1
 
         def told(outcome, total, took):
-            pace, now = self.pace, self.port.now
+            pace, now, wanted = self.pace, self.port.now, max(1.0, self.wanted.read(self.port.now) / MEMORY)
             if outcome is Outcome.OK and took < LATE * self.counter_wait:
-                pace.rate += QUICKER * self.wanted.read(now) / MEMORY
+                pace.rate += QUICKER * wanted
             elif now >= self.slowed:  # once for each wait
-                pace.rate, self.slowed = max(0.5, PACE_LEAST * self.wanted.read(now) / MEMORY, pace.rate * SLOWER), now + self.counter_wait
+                pace.rate, self.slowed = max(PACE_LEAST * wanted, pace.rate * SLOWER), now + self.counter_wait
             if outcome is Outcome.OK:
                 current = window == account.window
                 self.learn(account, amount, total - (account.total if current else before) - amount)
                 account.total = total if current else account.total
-            elif outcome is Outcome.TIMEOUT:
-                account.doubtful += amount  # it may have been added: seen again, it is not others' use
-            elif window == account.window:
-                account.unsaid += amount
-                self.say_later(account)
-            pace.depth = max(4.0, pace.rate * self.counter_wait)
+            elif outcome is not Outcome.TIMEOUT and window == account.window:  # else it may have been added
+                self.owe(account, amount)
+            pace.depth = max(AT_ONCE, pace.rate * self.counter_wait)
             if then:
                 then(outcome)
 
@@ -272,11 +253,9 @@
         now, store, share = self.port.now, account.store, account.share
         if others < -LOST * self.largest:
             others = 0.0  # an emptied counter: what this gateway knew of the store still stands
-        own = min(max(others, 0.0), max(account.doubtful, 0.0))
-        account.doubtful -= own
         account.mine.add(now, amount)
-        account.all.add(now, amount + others - own)
-        store.level = max(-self.largest, store.read(now) - others + own)
+        account.all.add(now, amount + others)
+        store.level = max(-self.largest, store.read(now) - others)
         share.rate, share.depth = store.rate / account.gateways, store.depth / account.gateways
         share.level, share.at, account.told_at = store.level / account.gateways, now, now
         account.credit = self.largest if share.depth < self.largest and 2 * store.level > store.depth else 0.0
@@ -403,8 +382,8 @@
         self.server, self.up_since, self.tries, self.places, self.first = server, server.up_since, [], places, places
         self.outcomes, self.good, self.free_at, self.seen = deque([True] * OUTCOMES, OUTCOMES), 1.0, 0.0, 0.0
         self.took, self.ends = Fading(), Fading()
-        # Tries that this gateway may send it while cold. It begins with a part of one by chance: gateways that
-        # all learn of the server at once, each with a small part of its budget, must not all try it at once.
+        # Tries it may be sent while cold, at first a part of one by chance: gateways that each hold a small part
+        # of its budget must not all reach one at the same moment.
         self.cold = Store(0.0, 1.0, phase, now)
 
     def open(self, now):
@@ -413,9 +392,6 @@
             return False
         return len(self.tries) < (1 if self.places < 1 or self.good < FAILING else int(self.places))
 
-    def sound(self):
-        return self.good >= FAILING and 2 * self.places >= self.first
-
     def delay(self, now, typical):  # seconds that an answer takes, or that the oldest try has waited
         mean = (self.took.read(now) + typical) / (self.ends.read(now) + 1)
         return max(mean, now - self.tries[0].sent if self.tries else 0.0, 0.001)
@@ -425,12 +401,12 @@
     """Chooses servers, sends, judges them, and decides on further tries."""
 
     def __init__(self, port, dice, line, zone, slot, gateways, max_tries, may_cancel, horizon, cold):
-        self.port, self.dice, self.line, self.zone, self.slot, self.gateways = port, dice, line, zone, slot, gateways
+        self.port, self.dice, self.line, self.gateways = port, dice, line, gateways
+        self.zone, self.start = zone, slot * 0.6180339887 % 1.0
         self.max_tries, self.may_cancel, self.horizon = max_tries, may_cancel, horizon
         self.cold_from, self.warm_after = cold
         self.servers, self.best, self.best_at, self.out = [], 0.0, 0.0, 0
-        self.window = 4.0 * PART  # tries out in all: one gateway sees each server seldom, but the fleet often
-        self.part, self.peers, self.warm, self.drawn_at = [], gateways, 0, 0.0
+        self.window, self.part, self.peers, self.warm, self.drawn_at = PLACES * PART, [], gateways, 0, 0.0
         self.took, self.ends, self.further, self.helped, self.sends = (Fading() for _ in range(5))
 
     def delay(self):  # seconds that an answer takes in the mean, 0 while none is known
@@ -451,17 +427,14 @@
 
     def draw(self):
         """This gateway's part of the fleet: a stretch of the ring of servers, so long that it knows each well.
-
-        It begins by the gateway's number, so that all parts together cover the ring evenly; what fails or is
-        slow is made up for from further along.
-        """
+        It begins by the gateway's number, so all parts cover the ring evenly; what is sick is made up for."""
         now, count, sound = self.port.now, len(self.servers), 0
         size = max(PART, self.sends.read(now) / MEMORY * SEEN)
-        start, self.part, self.drawn_at = floor(self.slot * 0.6180339887 % 1.0 * count), [], now
+        start, self.part, self.drawn_at = floor(self.start * count), [], now
         for view in self.servers[start:] + self.servers[:start]:
             if sound < size:
                 self.part.append(view)
-                sound += view.sound()
+                sound += view.good >= FAILING and 2 * view.places >= view.first
         self.peers = max(1.0, self.gateways * len(self.part) / max(1, count))
         self.warm = sum(self.is_warm(view) for view in self.part)
 
@@ -551,7 +524,7 @@
         if good and self.ends.sum > SURE:
             relaxed = self.best * (1 + RELAX * (now - self.best_at))
             self.best, self.best_at = min(self.delay(), relaxed or self.delay()), now
-        # So do all tries out together: when the whole fleet is slow, the gateways hold less, each by its own answers.
+        # A gateway sees a server seldom, but the fleet often: when answers are slow, it has fewer tries out in all.
         if good and took > CROWDED * self.best > 0:
             self.window = max(1.0, min(self.window, self.out + 1) * NARROW)
         elif good and 2 * self.out + 2 >= self.window:
@@ -601,7 +574,8 @@
         self.port, self.launched, self.trued_up, self.ask_within = port, port.now, trued_up, ask_within
         dice, horizon = Dice(seed), max((route.target for route in routes), default=1.0)
         self.line, self.quota = Line(port), Quota(port, dice, counter_wait, largest)
-        self.intake, self.accounts = Intake(port, self.line, longest_retry_after), self.quota.accounts
+        self.intake = Intake(port, self.line, longest_retry_after)
+        self.accounts = {}  # in the order of their last ask or end of a try
         self.upstreams = Upstreams(port, dice, self.line, zone, slot, gateways, max_tries, may_cancel, horizon,
                                    (cold_from, warm_after))
         chain = [self.intake, self.quota, Loans(port, self.line, self.accounts, horizon), Ceiling(port),
@@ -617,7 +591,7 @@
         account.active = self.port.now
         self.accounts.pop(account, None)
         self.accounts[account] = None
-        oldest = next(iter(self.accounts))  # whoever was longest without; it is looked at again if it still matters
+        oldest = next(iter(self.accounts))
         if oldest.active < self.port.now - FORGET and not oldest.lent and not oldest.out:
             del self.accounts[oldest]
 
