Learn the best delay only from some seconds of answers

Cause: the first answers to come are the quick ones; a best learnt from twenty of them made every later answer slow, so the window stayed narrow for the first fifteen seconds.

--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -32,7 +32,7 @@
 REDRAW = 1.0  # s between looks at that part: far less than it takes to judge a server
 HOLD = 5.0  # s, about, at most, that a customer told to be without room is left alone: a spike is over
 CROWDED = 2.5  # times the usual delay at its best from which an answer is slow: servers should hold no lines
-SURE = 20.0  # answers in the mean before it counts as a best: the first to come are the quick ones
+SURE, SOON = 20.0, 4.0  # answers, and s since the start, before a mean counts as a best: quick ones come first
 RELAX = 0.03  # share by which that best rises each second, so that a fleet that slowed for good is served
 LINE = 0.5  # share of the latency target that line and answer may be thought to take: the rest is for chance
 PATIENCE = 0.5  # share of the latency target after which an answer is slow, and another server may do better
@@ -405,7 +405,7 @@
         self.zone, self.start = zone, slot * 0.6180339887 % 1.0
         self.max_tries, self.may_cancel, self.horizon = max_tries, may_cancel, horizon
         self.cold_from, self.warm_after = cold
-        self.servers, self.best, self.best_at, self.out = [], 0.0, 0.0, 0
+        self.servers, self.best, self.best_at, self.sure_at, self.out = [], 0.0, 0.0, port.now + SOON, 0
         self.window, self.part, self.peers, self.warm, self.drawn_at = PLACES * PART, [], gateways, 0, 0.0
         self.took, self.ends, self.further, self.helped, self.sends = (Fading() for _ in range(5))
 
@@ -521,7 +521,7 @@
         for sums in (view, self) if good else ():
             sums.took.add(now, took)
             sums.ends.add(now, 1)
-        if good and self.ends.sum > SURE:
+        if good and self.ends.sum > SURE and now > self.sure_at:
             relaxed = self.best * (1 + RELAX * (now - self.best_at))
             self.best, self.best_at = min(self.delay(), relaxed or self.delay()), now
         # A gateway sees a server seldom, but the fleet often: when answers are slow, it has fewer tries out in all.
