Take out the places that follow each server's delay: the tries out in all cover the ground

Both held work back when answers are slow. A slow server is still passed over for its delay. Places are now a fixed part of a few cores' worth.

--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -25,8 +25,7 @@
 OUTCOMES = 8  # last outcomes of a server that judge it: few, so a failing one is noticed in a second or two
 FAILING = 0.5  # share of successes among them under which a server rests and then gets one try at a time
 REST = 4.0  # s of rest after a failure for one that only fails, less for one that fails less
-PLACES = 6.0  # places at a server at first, for all gateways that use it together: a few cores' worth
-GAIN, LEAST, LOSS = 0.3, 0.05, 0.25  # places won by a quick answer, by all; shares kept at least, if slow
+PLACES = 6.0  # places at a server, for all gateways that use it together: a few cores' worth
 PART, SEEN = 12, 2.5  # servers that a gateway uses at least; s between its tries at each, to know it well
 WIDEN, NARROW = 1.05, 0.9  # factors on all tries out for a quick and a slow answer: a third may be slow
 REDRAW = 1.0  # s between looks at that part: far less than it takes to judge a server
@@ -379,7 +378,7 @@
     """What this gateway saw of a server: the last outcomes, its delay, its places, its rest."""
 
     def __init__(self, server, places, phase, now):
-        self.server, self.up_since, self.tries, self.places, self.first = server, server.up_since, [], places, places
+        self.server, self.up_since, self.tries, self.places = server, server.up_since, [], places
         self.outcomes, self.good, self.free_at, self.seen = deque([True] * OUTCOMES, OUTCOMES), 1.0, 0.0, 0.0
         self.took, self.ends = Fading(), Fading()
         # Tries it may be sent while cold, at first a part of one by chance: gateways that each hold a small part
@@ -387,10 +386,10 @@
         self.cold = Store(0.0, 1.0, phase, now)
 
     def open(self, now):
-        """Whether a place is free. Who fails or has under one place gets a try at a time, after a rest."""
+        """Whether a place is free. Who fails gets a try at a time, after a rest; who is stuck, none."""
         if now < self.free_at or any(now - one.sent > PATIENCE * one.call.route.target for one in self.tries):
             return False
-        return len(self.tries) < (1 if self.places < 1 or self.good < FAILING else int(self.places))
+        return len(self.tries) < (1 if self.good < FAILING else int(self.places))
 
     def delay(self, now, typical):  # seconds that an answer takes, or that the oldest try has waited
         mean = (self.took.read(now) + typical) / (self.ends.read(now) + 1)
@@ -434,7 +433,7 @@
         for view in self.servers[start:] + self.servers[:start]:
             if sound < size:
                 self.part.append(view)
-                sound += view.good >= FAILING and 2 * view.places >= view.first
+                sound += view.good >= FAILING
         self.peers = max(1.0, self.gateways * len(self.part) / max(1, count))
         self.warm = sum(self.is_warm(view) for view in self.part)
 
@@ -529,14 +528,7 @@
             self.window = max(1.0, min(self.window, self.out + 1) * NARROW)
         elif good and 2 * self.out + 2 >= self.window:
             self.window *= WIDEN
-        # Places follow the answers: a server that is slow, for whatever reason, holds less; work waits here.
-        limit = min(CROWDED * self.best or took, PATIENCE * one.call.route.target)
-        if took > limit or outcome is Outcome.FULL:
-            view.places = max(LEAST * view.first, view.places * max(LOSS, min(0.8, 2 * limit / max(took, 1e-6))))
-        elif good and len(view.tries) + 1 >= int(view.places):
-            view.places += GAIN / self.peers
-        rest = 0.0 if good else REST * (1 - view.good / FAILING)
-        view.seen, view.free_at = now, now + max(rest, min(MEMORY, took * (1 / view.places - 1)))
+        view.seen, view.free_at = now, now if good else now + REST * (1 - view.good / FAILING)
 
     def may_try(self, rq):
         """Whether rules, time and recent luck allow a further try."""
