--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -1,6 +1,6 @@
 """All decisions of brookhub, for one gateway process: fair-share-ceiling on each API call's path, and guards.
 
-Build one Gateway with a Port, a seed and the site's terms, and tell it what happens; it acts by the port.
+Build one Gateway with a Port, a seed and the site's terms and tell it what happens; it acts by the port.
 Types: interface.py. Reasons: docs/design.md. An API call passes Intake, Quota, Loans, Ceiling, Line and then
 Upstreams; each passes it on, keeps it or ends it, and what comes back runs through them the other way.
 """
@@ -31,13 +31,14 @@
 REDRAW = 1.0  # s between looks at that part: far less than it takes to judge a server
 HOLD = 5.0  # s, about, at most, that a customer told to be without room is left alone: a spike is over
 CROWDED = 2.5  # times the usual delay at its best from which an answer is slow: servers should hold no lines
-SURE, SOON = 20.0, 4.0  # answers, and s since the start, before a mean counts as a best: quick ones come first
+SURE, SOON = 20.0, 4.0  # answers, and s since the start, until a mean counts as best: quick ones come first
 RELAX = 0.03  # share by which that best rises each second, so that a fleet that slowed for good is served
 LINE = 0.5  # share of the latency target that line and answer may be thought to take: the rest is for chance
 PATIENCE = 0.5  # share of the latency target after which an answer is slow, and another server may do better
 MEMORY = 10.0  # s over which rates, delays and successes fade: several windows, shorter than most troubles
 CROSS = 1.3  # how much longer a server in another zone may seem: crossing costs, but less than a wait
 COLD_SHARE = 0.7  # of this gateway's share of a cold server's budget: chance and unseen work need the rest
+GOLDEN = 0.6180339887  # of a circle between numbers in turn: any few of them lie evenly round it
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.UNSENT)  # outcomes that prove that nothing ran
 
 
@@ -57,12 +58,11 @@
 
     sum = at = 0.0
 
-    def add(self, now, amount):
+    def add(self, now, amount=0.0):
         self.sum, self.at = self.sum * exp((self.at - now) / MEMORY) + amount, now
         return self.sum
 
-    def read(self, now):
-        return self.add(now, 0.0)
+    read = add
 
 
 class Store:
@@ -109,8 +109,6 @@
 
 
 class Stage:
-    next = before = None
-
     def ended(self, rq, answer):
         self.before.ended(rq, answer)
 
@@ -129,9 +127,8 @@
 
     def ended(self, rq, answer):
         route, rq.done, rq.call.rq = rq.call.route, True, None
-        safe = route.repeat is Repeat.IDEMPOTENT or not rq.may_have_run() or (
-            route.repeat is Repeat.TOKENED and route.group is Group.ALL)
-        if answer == "rate-limit" and safe:
+        safe = route.repeat is Repeat.IDEMPOTENT or (route.repeat, route.group) == (Repeat.TOKENED, Group.ALL)
+        if answer == "rate-limit" and (safe or not rq.may_have_run()):
             self.port.rate_limit(rq.call, min(rq.wait, self.longest))
         elif answer != "proxied":
             self.port.error(rq.call)
@@ -142,8 +139,7 @@
 
     def __init__(self, port, dice, counter_wait, largest):
         self.port, self.dice, self.counter_wait, self.largest = port, dice, counter_wait, largest
-        self.slowed, self.wanted = 0.0, Fading()
-        self.pace = Store(PACE, AT_ONCE, AT_ONCE, port.now)
+        self.pace, self.slowed, self.wanted = Store(PACE, AT_ONCE, AT_ONCE, port.now), 0.0, Fading()
 
     def take(self, rq):
         account, units, now = rq.account, rq.call.units, self.port.now
@@ -154,8 +150,7 @@
         if account.store.read(now) < units or now < account.hold:
             return self.beyond(rq)
         self.wanted.add(now, 0.0 if inside else 1.0)
-        # Where calls are scarce, a client's repeat comes last: it was refused or failed a moment ago.
-        asks = not inside and self.may_ask(0.5 if rq.call.repeated else 0.0)
+        asks = not inside and self.may_ask(0.5 if rq.call.repeated else 0.0)  # a repeat comes last
         self.spend(rq, units, not asks)
         if inside:  # pass, and add in the background
             self.next.take(rq)
@@ -164,8 +159,7 @@
         else:
             self.decide(rq, Outcome.UNSENT)
 
-    def may_ask(self, spare=0.0):
-        """Calls keep to a pace that the counter answers; a crowd of them would only time out."""
+    def may_ask(self, spare=0.0):  # at a pace that the counter answers: a crowd of calls would only time out
         return self.counter_wait > 0 and self.pace.read(self.port.now) >= 1 + spare * self.pace.depth
 
     def decide(self, rq, outcome):
@@ -185,8 +179,8 @@
         self.next.take(rq) if fits else self.beyond(rq)
 
     def beyond(self, rq):
-        account, now = rq.account, self.port.now
-        rq.beyond, rq.wait = True, max(account.store.wait(now, rq.call.units), account.hold - now)
+        wait = rq.account.store.wait(self.port.now, rq.call.units)
+        rq.beyond, rq.wait = True, max(wait, rq.account.hold - self.port.now)
         self.next.take(rq)
 
     def spend(self, rq, units, say=True):
@@ -194,31 +188,34 @@
         account, rq.counted = rq.account, rq.counted + units
         account.store.level -= units
         account.share.level -= units
-        if say:
-            self.owe(account, units)
+        self.owe(account, units if say else 0.0)
 
-    def owe(self, account, units):
+    def owe(self, account, units):  # to be added in the background
         if units and not account.unsaid:
             self.port.later(BATCH * (0.5 + self.dice.roll()), lambda: self.flush(account))
         account.unsaid += units
 
-    def flush(self, account):
-        """Background adds, as far as the pace leaves room beside the asks."""
+    def flush(self, account):  # as far as the pace leaves room beside the asks
         if account.unsaid and self.may_ask(0.5):
             self.say(account, 0.0)
         elif account.unsaid:
             self.port.later(BATCH, lambda: self.flush(account))
 
     def turn(self, account):
-        """Move to the current window; customers are out of step. What the last one did not hear stays unsaid."""
-        shift = account.customer.id * 0.6180339887 % 1.0
-        index = floor(self.port.now * account.plan.rate / account.plan.burst + shift)
+        """Move to the current window (customers out of step), reading what others still added to the last."""
+        now, window = self.port.now, account.plan.burst / account.plan.rate
+        at = now / window + account.customer.id * GOLDEN % 1.0
+        index = floor(at)
         if index != account.window:
+            if index - 1 == account.window and self.may_ask(0.5):
+                self.say(account, 0.0)
             account.window, account.total, account.unsaid = index, 0.0, 0.0
+            if now - account.active < window:
+                self.port.later((index + 1 - at) * window + 0.001, lambda: self.turn(account))
 
-    def say(self, account, amount, then=None):
+    def say(self, account, amount, then=lambda outcome: None):
         """Add to the count, with whatever waits to be added; the total that comes back is what all added."""
-        window, amount, account.unsaid = account.window, amount + account.unsaid, 0.0
+        window, before, amount, account.unsaid = account.window, account.total, amount + account.unsaid, 0.0
         self.pace.level -= 1
 
         def told(outcome, total, took):
@@ -227,14 +224,14 @@
                 pace.rate += QUICKER * wanted
             elif now >= self.slowed:  # once for each wait
                 pace.rate, self.slowed = max(PACE_LEAST * wanted, pace.rate * SLOWER), now + self.counter_wait
-            if outcome is Outcome.OK and window == account.window:
-                self.learn(account, total - account.total - amount)
-                account.total = total
-            elif outcome not in (Outcome.OK, Outcome.TIMEOUT) and window == account.window:
+            current = window == account.window
+            if outcome is Outcome.OK:
+                self.learn(account, total - (account.total if current else before) - amount)
+                account.total = total if current else account.total
+            elif outcome is not Outcome.TIMEOUT and current:  # which may have been added
                 self.owe(account, amount)
             pace.depth = max(AT_ONCE, pace.rate * self.counter_wait)
-            if then:
-                then(outcome)
+            then(outcome)
 
         name = account.customer.id << 31 | window & 0x7FFFFFFF
         self.port.count(name, amount, min(60.0, LIVES * account.plan.burst / account.plan.rate), told)
@@ -264,28 +261,23 @@
     def lend(self, rq):
         plan, now, units, loan = rq.account.plan, self.port.now, rq.call.units, []
         soft = plan.beyond_value > plan.beyond_cost and rq.call.route.target <= self.horizon
-        # Loans fill what is free: they never wait in line before those inside their quota.
         if not soft or self.line.waiting or not self.next.room(rq) or not self.line.next.pick(rq):
-            return False
+            return False  # loans only fill what is free: they never wait before those inside their quota
         quiet = takewhile(lambda one: now - one.active > IDLE * self.horizon, self.accounts)
         idle = [one for one in quiet if not one.out and self.free(one) > 0]
         for lender in sorted(idle, key=self.free, reverse=True):
-            part = max(0.0, min(self.free(lender), units))
-            loan.append((lender, part))
-            units -= part
-        if units > 0:
-            return False
-        rq.loan = loan
-        return self.book(loan, 1)
+            loan.append((lender, min(self.free(lender), units)))
+            units -= loan[-1][1]
+        rq.loan = loan if units <= 0 else None
+        self.book(rq.loan or (), 1)
+        return rq.loan
 
-    def free(self, account):
-        """A guarantee, the gateway's slice of the rate times the horizon, less what is lent of it."""
+    def free(self, account):  # of a guarantee, the gateway's slice of the rate times the horizon
         return account.plan.rate / account.gateways * self.horizon - account.lent
 
     def book(self, loan, sign):
         for lender, part in loan:
             lender.lent += sign * part
-        return True
 
     def ended(self, rq, answer):
         if rq.loan:  # cut short, the work may go on at its server: the loan counts for one more horizon
@@ -328,10 +320,9 @@
     """Work waits here, and a server gets the next when one of its places comes free."""
 
     def __init__(self, port):
-        self.port, self.waiting, self.ticking = port, deque(), False
+        self.port, self.waiting, self.look_at = port, deque(), 0.0
 
-    def too_long(self, rq):
-        """Seconds of wait if the line can't meet the latency target, else 0."""
+    def too_long(self, rq):  # seconds of wait if the line can't meet the latency target, else 0
         delay = self.next.delay()
         wait = len(self.waiting) * delay / max(1, self.next.out)
         return wait if wait + delay > LINE * (rq.target_at - self.port.now) else 0.0
@@ -353,24 +344,20 @@
             elif not rq.done:
                 self.waiting.append(rq)
                 blocked = blocked or not rq.may_have_run() and self.before.room(rq)
-        if self.waiting and not self.ticking:
-            self.ticking = True
-            self.port.later(SWEEP, self.tick)
-
-    def tick(self):
-        self.ticking = False
-        self.pump()
+        if self.waiting and self.port.now >= self.look_at:
+            self.look_at = self.port.now + 0.9 * SWEEP
+            self.port.later(SWEEP, self.pump)
 
 
 class Upstream:
-    """What this gateway saw of a server: the last outcomes, its delay, its places, its rest."""
+    """What this gateway saw of a server."""
 
     def __init__(self, server, places, phase, now):
         self.server, self.up_since, self.tries, self.places = server, server.up_since, [], places
         self.outcomes, self.good, self.free_at, self.seen = deque([True] * OUTCOMES, OUTCOMES), 1.0, 0.0, 0.0
         self.took, self.ends = Fading(), Fading()
-        # Tries it may be sent while cold, at first a part of one by chance: gateways that each hold a small part
-        # of its budget must not all reach one at the same moment.
+        # Tries it may get while cold, at first a part of one by chance: gateways that each hold a crumb of it
+        # must not all come to a whole try at the same moment.
         self.cold = Store(0.0, 1.0, phase, now)
 
     def open(self, now):
@@ -387,11 +374,10 @@
 class Upstreams(Stage):
     """Chooses servers, sends, judges them, and decides on further tries."""
 
-    def __init__(self, port, dice, line, zone, slot, gateways, max_tries, may_cancel, horizon, cold):
+    def __init__(self, port, dice, line, zone, start, gateways, max_tries, may_cancel, horizon, cold):
         self.port, self.dice, self.line, self.gateways = port, dice, line, gateways
-        self.zone, self.start = zone, slot * 0.6180339887 % 1.0
-        self.max_tries, self.may_cancel, self.horizon = max_tries, may_cancel, horizon
-        self.cold_from, self.warm_after = cold
+        self.zone, self.start, self.max_tries, self.may_cancel = zone, start, max_tries, may_cancel
+        self.horizon, (self.cold_from, self.warm_after) = horizon, cold
         self.servers, self.best, self.best_at, self.sure_at, self.out = [], 0.0, 0.0, port.now + SOON, 0
         self.window, self.part, self.peers, self.warm, self.drawn_at = PLACES * PART, [], gateways, 0, 0.0
         self.took, self.ends, self.further, self.helped, self.sends = (Fading() for _ in range(5))
@@ -413,7 +399,7 @@
         self.line.pump()
 
     def draw(self):
-        """This gateway's part of the fleet: a stretch of the ring of servers, so long that it knows each well.
+        """This gateway's part of the fleet: a stretch of the ring of servers, short enough to know each well.
         It begins by the gateway's number, so all parts cover the ring evenly; what is sick is made up for."""
         now, count, sound = self.port.now, len(self.servers), 0
         size = max(PART, self.sends.read(now) / MEMORY * SEEN)
@@ -430,8 +416,6 @@
 
     def admits_cold(self, view):
         """Cold budget, own share alone: the least warmth, of what a warm server is sent or one core bears."""
-        if self.is_warm(view):
-            return True
         now = self.port.now
         usual = self.sends.read(now) / MEMORY / self.warm if self.warm else 0.0
         warmth = self.cold_from + (1 - self.cold_from) * max(0.0, now - view.up_since) / self.warm_after
@@ -439,8 +423,7 @@
         view.cold.rate = warmth * COLD_SHARE * max(usual, 1 / max(self.delay(), 0.05) / self.peers)
         return view.cold.level >= 1
 
-    def group_allows(self, rq, server, ran):
-        """Whether a repeat may go to this server, `ran` being the tries that may have run."""
+    def group_allows(self, rq, server, ran):  # whether a repeat may go there, after tries that may have run
         route = rq.call.route
         if not ran or route.repeat is Repeat.IDEMPOTENT:
             return True
@@ -449,21 +432,18 @@
         group, first = route.group, ran[0].server
         return group is Group.ALL or getattr(server, group.name.lower()) == getattr(first, group.name.lower())
 
-    def pick(self, rq):
-        """The free place where an answer should come soonest, or None."""
+    def pick(self, rq):  # the free place where an answer should come soonest, or None
         now, typical, best, least = self.port.now, self.delay(), None, 0.0
         ran, tried = rq.may_have_run(), [one.server for one in rq.call.tries]
         if now - self.drawn_at >= REDRAW:
             self.draw()
-        if self.out >= self.window:
-            return None
-        for view in self.part:
+        for view in self.part if self.out < self.window else ():
             server = view.server
-            if view.open(now) and self.group_allows(rq, server, ran) and self.admits_cold(view):
+            if view.open(now) and self.group_allows(rq, server, ran) and (
+                    self.is_warm(view) or self.admits_cold(view)):
                 good = max(0.1, view.good, min(1.0, (now - view.seen) / MEMORY))  # long unseen: a new chance
-                cost = (len(view.tries) + 1) * view.delay(now, typical) / good
+                cost = (len(view.tries) + 1) * view.delay(now, typical) / good * 4 ** tried.count(server)
                 cost *= (CROSS if server.zone != self.zone else 1.0) * (1 + 0.05 * self.dice.roll())
-                cost *= 4 ** tried.count(server)
                 if best is None or cost < least:
                     best, least = view, cost
         return best
@@ -497,9 +477,9 @@
         self.line.pump()
 
     def judge(self, view, one, took):
-        now, outcome, good = self.port.now, one.outcome, one.outcome is Outcome.OK
-        if outcome is Outcome.UNSENT or outcome is Outcome.CANCELLED and took < PATIENCE * one.call.route.target:
-            return  # what was cancelled for its slowness counts as slow, whether work or answer is lost
+        now, outcome, good, route = self.port.now, one.outcome, one.outcome is Outcome.OK, one.call.route
+        if outcome is Outcome.UNSENT or outcome is Outcome.CANCELLED and took < PATIENCE * route.target:
+            return  # but given up for its slowness it counts as failed, whether work or answer was lost
         if outcome is not Outcome.FULL:
             view.outcomes.extend([good] * (2 if outcome is Outcome.UNCONNECTED else 1))
             view.good = sum(view.outcomes) / OUTCOMES
@@ -509,15 +489,14 @@
         if good and self.ends.sum > SURE and now > self.sure_at:
             relaxed = self.best * (1 + RELAX * (now - self.best_at))
             self.best, self.best_at = min(self.delay(), relaxed or self.delay()), now
-        # A gateway sees a server seldom, but the fleet often: when answers are slow, it has fewer tries out in all.
+        # A gateway sees a server seldom, the fleet often: while answers are slow, fewer tries are out in all.
         if good and took > CROWDED * self.best > 0:
             self.window = max(1.0, min(self.window, self.out + 1) * NARROW)
         elif good and 2 * self.out + 2 >= self.window:
             self.window *= WIDEN
         view.seen, view.free_at = now, now if good else now + REST * (1 - view.good / FAILING)
 
-    def may_try(self, rq):
-        """Whether rules, time and recent luck allow a further try."""
+    def may_try(self, rq):  # whether rules, time and recent luck allow a further try
         now, ran = self.port.now, rq.may_have_run()
         allowed = any(self.group_allows(rq, view.server, ran) for view in self.part)
         if len(rq.call.tries) >= self.max_tries or now + self.delay() > rq.target_at or not allowed:
@@ -545,19 +524,18 @@
     def __init__(self, port, seed, *, routes, plans, zone, slot, gateways, counter_wait, largest, trued_up,
                  max_tries, second_copies, may_cancel, longest_retry_after, cold_from, warm_after,
                  fall_multiple, fall_within, asks_for_servers, ask_within):
-        needed = [("gateways", gateways), ("max_tries", max_tries), *((one.name, one.target) for one in routes)]
-        for name, value in needed + [(f"{one.name}: burst", one.burst) for one in plans if one.rate]:
+        needed = {"gateways": gateways, "max_tries": max_tries} | {one.name: one.target for one in routes}
+        for name, value in (needed | {f"{one.name}: burst": one.burst for one in plans if one.rate}).items():
             if not value > 0:
                 raise ValueError(f"{name} must be above 0, not {value}")
         self.port, self.launched, self.trued_up, self.ask_within = port, port.now, trued_up, ask_within
         dice, horizon = Dice(seed), max((route.target for route in routes), default=1.0)
         self.line, self.quota = Line(port), Quota(port, dice, counter_wait, largest)
-        self.intake = Intake(port, self.line, longest_retry_after)
-        self.accounts = {}  # in the order of their last ask or end of a try
-        self.upstreams = Upstreams(port, dice, self.line, zone, slot, gateways, max_tries, may_cancel, horizon,
-                                   (cold_from, warm_after))
-        chain = [self.intake, self.quota, Loans(port, self.line, self.accounts, horizon), Ceiling(port),
-                 self.line, self.upstreams]
+        self.intake, self.accounts = Intake(port, self.line, longest_retry_after), {}  # in order of last use
+        self.upstreams = Upstreams(port, dice, self.line, zone, slot * GOLDEN % 1.0, gateways, max_tries,
+                                   may_cancel, horizon, (cold_from, warm_after))
+        loans = Loans(port, self.line, self.accounts, horizon)
+        chain = [self.intake, self.quota, loans, Ceiling(port), self.line, self.upstreams]
         for one, following in zip(chain, chain[1:]):
             one.next, following.before = following, one
         self.servers_told = self.upstreams.listed
@@ -580,9 +558,9 @@
         self.touch(customer.account)
         self.intake.take(Rq(call, customer.account, now))
 
-    def answer_began(self, one, took):
+    def answer_began(self, one, took):  # it is the client's from here on; no time is up for it
         if one.call.rq:
-            one.call.rq.began = True  # the answer is the client's from here on; no time is up for it
+            one.call.rq.began = True
 
     def try_ended(self, one, took, final, charged, used, report):
         rq = one.call.rq
