--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -27,7 +27,7 @@
 REST = 4.0  # s of rest after a failure for one that only fails, less for one that fails less
 PLACES = 6.0  # places at a server, for all gateways that use it together: a few cores' worth
 PART, SEEN = 12, 2.5  # servers that a gateway uses at least; s between its tries at each, to know it well
-WIDEN, NARROW = 1.05, 0.9  # factors on all tries out for a quick and a slow answer: a third may be slow
+WIDEN, NARROW = 1.07, 0.9  # factors on all tries out for a quick and a slow answer: 4 in 10 may be slow
 REDRAW = 1.0  # s between looks at that part: far less than it takes to judge a server
 HOLD = 5.0  # s, about, at most, that a customer told to be without room is left alone: a spike is over
 CROWDED = 2.5  # times the usual delay at its best from which an answer is slow: servers should hold no lines
@@ -147,7 +147,7 @@
             return self.next.take(rq)
         self.turn(account)
         inside = account.share.read(now) >= units and now - account.told_at < FRESH
-        if account.store.read(now) < units or now < account.hold:
+        if account.store.read(now) < units or now < account.hold and not self.may_ask(0.5):
             return self.beyond(rq)
         self.wanted.add(now, 0.0 if inside else 1.0)
         asks = not inside and self.may_ask(0.5 if rq.call.repeated else 0.0)  # a repeat comes last
