Take others' use for as much larger as this gateway leaves its own unsaid; no timer at window ends

Covers a slow and a crowded counter; may refuse too much where only this gateway is cut off from it.

--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -29,8 +29,9 @@
 PART, SEEN = 12, 2.5  # servers that a gateway uses at least; s between its tries at each, to know it well
 WIDEN, NARROW = 1.07, 0.9  # factors on all tries out for a quick and a slow answer: 4 in 10 may be slow
 REDRAW = 1.0  # s between looks at that part: far less than it takes to judge a server
+UNSAID = 3.0  # times what is said that is taken to have passed, at most: beyond that it is guesswork
 HOLD = 5.0  # s, about, at most, that a customer told to be without room is left alone: a spike is over
-CROWDED = 2.5  # times the usual delay at its best from which an answer is slow: servers should hold no lines
+CROWDED = 3.0  # times the usual delay at its best from which an answer is slow: servers should hold no lines
 SURE, SOON = 20.0, 4.0  # answers, and s since the start, until a mean counts as best: quick ones come first
 RELAX = 0.03  # share by which that best rises each second, so that a fleet that slowed for good is served
 LINE = 0.5  # share of the latency target that line and answer may be thought to take: the rest is for chance
@@ -65,9 +66,7 @@
     read = add
 
 
-class Store:
-    """Units that refill at a rate up to a depth."""
-
+class Store:  # units that refill at a rate up to a depth
     def __init__(self, rate, depth, level, now):
         self.rate, self.depth, self.level, self.at = rate, depth, level, now
 
@@ -79,9 +78,7 @@
         return max(0.0, units - self.read(now)) / max(self.rate, 1e-9)
 
 
-class Rq:
-    """One API call on its way."""
-
+class Rq:  # one API call on its way
     def __init__(self, call, account, now):
         self.call, self.account, self.target_at = call, account, min(now + call.route.target, call.expires)
         self.counted = self.drawn = self.wait = 0.0  # units out of quota and ceiling; s to come back in
@@ -139,7 +136,8 @@
 
     def __init__(self, port, dice, counter_wait, largest):
         self.port, self.dice, self.counter_wait, self.largest = port, dice, counter_wait, largest
-        self.pace, self.slowed, self.wanted = Store(PACE, AT_ONCE, AT_ONCE, port.now), 0.0, Fading()
+        self.pace, self.slowed = Store(PACE, AT_ONCE, AT_ONCE, port.now), 0.0
+        self.wanted, self.passed, self.said = Fading(), Fading(), Fading()  # asks; units
 
     def take(self, rq):
         account, units, now = rq.account, rq.call.units, self.port.now
@@ -186,6 +184,7 @@
     def spend(self, rq, units, say=True):
         """Book units, below 0 to give them back, and have them added unless that is under way."""
         account, rq.counted = rq.account, rq.counted + units
+        self.passed.add(self.port.now, units)
         account.store.level -= units
         account.share.level -= units
         self.owe(account, units if say else 0.0)
@@ -204,14 +203,11 @@
     def turn(self, account):
         """Move to the current window (customers out of step), reading what others still added to the last."""
         now, window = self.port.now, account.plan.burst / account.plan.rate
-        at = now / window + account.customer.id * GOLDEN % 1.0
-        index = floor(at)
+        index = floor(now / window + account.customer.id * GOLDEN % 1.0)
         if index != account.window:
             if index - 1 == account.window and self.may_ask(0.5):
                 self.say(account, 0.0)
             account.window, account.total, account.unsaid = index, 0.0, 0.0
-            if now - account.active < window:
-                self.port.later((index + 1 - at) * window + 0.001, lambda: self.turn(account))
 
     def say(self, account, amount, then=lambda outcome: None):
         """Add to the count, with whatever waits to be added; the total that comes back is what all added."""
@@ -226,6 +222,7 @@
                 pace.rate, self.slowed = max(PACE_LEAST * wanted, pace.rate * SLOWER), now + self.counter_wait
             current = window == account.window
             if outcome is Outcome.OK:
+                self.said.add(now, amount)
                 self.learn(account, total - (account.total if current else before) - amount)
                 account.total = total if current else account.total
             elif outcome is not Outcome.TIMEOUT and current:  # which may have been added
@@ -240,6 +237,8 @@
         now, store, share = self.port.now, account.store, account.share
         if others < -LOST * self.largest:
             others = 0.0  # an emptied counter: what this gateway knew of the store still stands
+        # While calls are scarce others, too, say only a part of what they pass: as small as this gateway's.
+        others *= min(UNSAID, max(1.0, self.passed.read(now) / max(1.0, self.said.read(now))))
         store.level = max(-self.largest, store.read(now) - others)
         share.level, share.at, account.told_at = store.level / account.gateways, now, now
         account.credit = account.most_credit if 2 * store.level > store.depth else 0.0
@@ -349,9 +348,7 @@
             self.port.later(SWEEP, self.pump)
 
 
-class Upstream:
-    """What this gateway saw of a server."""
-
+class Upstream:  # what this gateway saw of a server
     def __init__(self, server, places, phase, now):
         self.server, self.up_since, self.tries, self.places = server, server.up_since, [], places
         self.outcomes, self.good, self.free_at, self.seen = deque([True] * OUTCOMES, OUTCOMES), 1.0, 0.0, 0.0
