--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -31,7 +31,7 @@
 REDRAW = 1.0  # s between looks at that part: far less than it takes to judge a server
 UNSAID = 3.0  # times what is said that is taken to have passed, at most: beyond that it is guesswork
 HOLD = 5.0  # s, about, at most, that a customer told to be without room is left alone: a spike is over
-CROWDED = 3.0  # times the usual delay at its best from which an answer is slow: servers should hold no lines
+CROWDED = 2.5  # times the usual delay at its best from which an answer is slow: servers should hold no lines
 SURE, SOON = 20.0, 4.0  # answers, and s since the start, until a mean counts as best: quick ones come first
 RELAX = 0.03  # share by which that best rises each second, so that a fleet that slowed for good is served
 LINE = 0.5  # share of the latency target that line and answer may be thought to take: the rest is for chance
@@ -43,9 +43,7 @@
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.UNSENT)  # outcomes that prove that nothing ran
 
 
-class Dice:
-    """Chance: a linear congruential generator, of which the high bits are used."""
-
+class Dice:  # chance: a linear congruential generator, of which the high bits are used
     def __init__(self, seed):
         self.state = seed
 
@@ -54,9 +52,7 @@
         return (self.state >> 33) / 2 ** 31
 
 
-class Fading:
-    """A sum that fades over MEMORY, brought up to date when read."""
-
+class Fading:  # a sum that fades over MEMORY, brought up to date when read
     sum = at = 0.0
 
     def add(self, now, amount=0.0):
@@ -137,7 +133,7 @@
     def __init__(self, port, dice, counter_wait, largest):
         self.port, self.dice, self.counter_wait, self.largest = port, dice, counter_wait, largest
         self.pace, self.slowed = Store(PACE, AT_ONCE, AT_ONCE, port.now), 0.0
-        self.wanted, self.passed, self.said = Fading(), Fading(), Fading()  # asks; units
+        self.wanted, self.unheard, self.said = Fading(), Fading(), Fading()  # asks; units
 
     def take(self, rq):
         account, units, now = rq.account, rq.call.units, self.port.now
@@ -184,7 +180,6 @@
     def spend(self, rq, units, say=True):
         """Book units, below 0 to give them back, and have them added unless that is under way."""
         account, rq.counted = rq.account, rq.counted + units
-        self.passed.add(self.port.now, units)
         account.store.level -= units
         account.share.level -= units
         self.owe(account, units if say else 0.0)
@@ -203,11 +198,14 @@
     def turn(self, account):
         """Move to the current window (customers out of step), reading what others still added to the last."""
         now, window = self.port.now, account.plan.burst / account.plan.rate
-        index = floor(now / window + account.customer.id * GOLDEN % 1.0)
-        if index != account.window:
-            if index - 1 == account.window and self.may_ask(0.5):
+        at = now / window + account.customer.id * GOLDEN % 1.0
+        if floor(at) != account.window:
+            if floor(at) - 1 == account.window and self.may_ask(0.5):
                 self.say(account, 0.0)
-            account.window, account.total, account.unsaid = index, 0.0, 0.0
+            self.unheard.add(now, account.unsaid)
+            account.window, account.total, account.unsaid = floor(at), 0.0, 0.0
+            if now - account.active < window:
+                self.port.later((account.window + 1 - at) * window + 0.001, lambda: self.turn(account))
 
     def say(self, account, amount, then=lambda outcome: None):
         """Add to the count, with whatever waits to be added; the total that comes back is what all added."""
@@ -238,7 +236,7 @@
         if others < -LOST * self.largest:
             others = 0.0  # an emptied counter: what this gateway knew of the store still stands
         # While calls are scarce others, too, say only a part of what they pass: as small as this gateway's.
-        others *= min(UNSAID, max(1.0, self.passed.read(now) / max(1.0, self.said.read(now))))
+        others *= min(UNSAID, 1.0 + max(0.0, self.unheard.read(now)) / max(1.0, self.said.read(now)))
         store.level = max(-self.largest, store.read(now) - others)
         share.level, share.at, account.told_at = store.level / account.gateways, now, now
         account.credit = account.most_credit if 2 * store.level > store.depth else 0.0
