Begin with a part of the fleet's places, and narrow the tries out by what is given up and turned away

Covers overload from the first second, restarts into it, stuck fleets; may refuse too early where most answers are lost.

--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -28,6 +28,7 @@
 PLACES = 6.0  # places at a server, for all gateways that use it together: a few cores' worth
 PART, SEEN = 12, 2.5  # servers that a gateway uses at least; s between its tries at each, to know it well
 WIDEN, NARROW = 1.07, 0.9  # factors on all tries out for a quick and a slow answer: 4 in 10 may be slow
+GIVEN_UP = 0.25  # of a slow answer that a try without one counts: a third of the answers may be lost
 REDRAW = 1.0  # s between looks at that part: far less than it takes to judge a server
 UNSAID = 3.0  # times what is said that is taken to have passed, at most: beyond that it is guesswork
 HOLD = 5.0  # s, about, at most, that a customer told to be without room is left alone: a spike is over
@@ -85,8 +86,7 @@
         return [one for one in self.call.tries if one.outcome not in NEVER_RAN]
 
 
-class Account:
-    """What this gateway knows of a customer: the quota as far as told, its share of it, loans of its room."""
+class Account:  # what this gateway knows of a customer: the quota as told, its share, loans of its room
 
     def __init__(self, customer, gateways, largest, now, launched):
         plan, part = customer.plan, 1.0 / gateways
@@ -284,8 +284,7 @@
         self.before.ended(rq, answer)
 
 
-class Ceiling(Stage):
-    """This gateway's own share of a customer's hard ceiling and cap on tries out: work waits for it."""
+class Ceiling(Stage):  # this gateway's share of a customer's hard ceiling and cap on tries out: work waits
 
     def __init__(self, port):
         self.port = port
@@ -313,8 +312,7 @@
         return not cap or rq.sent or account.out < max(1, round(cap / account.gateways))
 
 
-class Line(Stage):
-    """Work waits here, and a server gets the next when one of its places comes free."""
+class Line(Stage):  # work waits here, and a server gets the next when one of its places comes free
 
     def __init__(self, port):
         self.port, self.waiting, self.look_at = port, deque(), 0.0
@@ -374,7 +372,7 @@
         self.zone, self.start, self.max_tries, self.may_cancel = zone, start, max_tries, may_cancel
         self.horizon, (self.cold_from, self.warm_after) = horizon, cold
         self.servers, self.best, self.best_at, self.sure_at, self.out = [], 0.0, 0.0, port.now + SOON, 0
-        self.window, self.part, self.peers, self.warm, self.drawn_at = PLACES * PART, [], gateways, 0, 0.0
+        self.window, self.part, self.peers, self.warm, self.drawn_at = 0.0, [], gateways, 0, 0.0
         self.took, self.ends, self.further, self.helped, self.sends = (Fading() for _ in range(5))
 
     def delay(self):  # seconds that an answer takes in the mean, 0 while none is known
@@ -404,6 +402,7 @@
                 self.part.append(view)
                 sound += view.good >= FAILING
         self.peers = max(1.0, self.gateways * len(self.part) / max(1, count))
+        self.window = self.window or max(1.0, PLACES * count / self.gateways)
         self.warm = sum(self.is_warm(view) for view in self.part)
 
     def is_warm(self, view):
@@ -472,8 +471,9 @@
         self.line.pump()
 
     def judge(self, view, one, took):
-        now, outcome, good, route = self.port.now, one.outcome, one.outcome is Outcome.OK, one.call.route
-        if outcome is Outcome.UNSENT or outcome is Outcome.CANCELLED and took < PATIENCE * route.target:
+        now, outcome, good = self.port.now, one.outcome, one.outcome is Outcome.OK
+        patience = PATIENCE * one.call.route.target
+        if outcome is Outcome.UNSENT or outcome is Outcome.CANCELLED and took < patience:
             return  # but given up for its slowness it counts as failed, whether work or answer was lost
         if outcome is not Outcome.FULL:
             view.outcomes.extend([good] * (2 if outcome is Outcome.UNCONNECTED else 1))
@@ -485,8 +485,9 @@
             relaxed = self.best * (1 + RELAX * (now - self.best_at))
             self.best, self.best_at = min(self.delay(), relaxed or self.delay()), now
         # A gateway sees a server seldom, the fleet often: while answers are slow, fewer tries are out in all.
-        if good and took > CROWDED * self.best > 0:
-            self.window = max(1.0, min(self.window, self.out + 1) * NARROW)
+        # Tries without an answer count less: it may be lost where work runs well; if none comes, all are stuck.
+        if outcome is Outcome.FULL or took > min(CROWDED * self.best or patience, patience):
+            self.window = max(1.0, min(self.window, self.out + 1) * NARROW ** (1 if good else GIVEN_UP))
         elif good and 2 * self.out + 2 >= self.window:
             self.window *= WIDEN
         view.seen, view.free_at = now, now if good else now + REST * (1 - view.good / FAILING)
@@ -513,8 +514,7 @@
             self.ended(rq, "error")
 
 
-class Gateway:
-    """One gateway: the chain, and what it is told."""
+class Gateway:  # the chain, and what it is told
 
     def __init__(self, port, seed, *, routes, plans, zone, slot, gateways, counter_wait, largest, trued_up,
                  max_tries, second_copies, may_cancel, longest_retry_after, cold_from, warm_after,
