--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -79,7 +79,7 @@
     def __init__(self, call, account, now):
         self.call, self.account, self.target_at = call, account, min(now + call.route.target, call.expires)
         self.counted = self.drawn = self.wait = 0.0  # units out of quota and ceiling; s to come back in
-        self.loan = None  # (lender, units) pairs
+        self.loan, self.soft = None, account.plan.beyond_value > account.plan.beyond_cost  # lenders and units
         self.beyond = self.sent = self.done = self.began = False
 
     def may_have_run(self):
@@ -127,8 +127,7 @@
             self.port.error(rq.call)
 
 
-class Quota(Stage):
-    """The counter rule: each unit passed is added to the customer's count for a window of burst over rate."""
+class Quota(Stage):  # each unit passed is added to the customer's count for a window of burst over rate
 
     def __init__(self, port, dice, counter_wait, largest):
         self.port, self.dice, self.counter_wait, self.largest = port, dice, counter_wait, largest
@@ -144,7 +143,8 @@
         if account.store.read(now) < units or now < account.hold and not self.may_ask(0.5):
             return self.beyond(rq)
         self.wanted.add(now, 0.0 if inside else 1.0)
-        asks = not inside and self.may_ask(0.5 if rq.call.repeated else 0.0)  # a repeat comes last
+        # Where calls are scarce a repeat, refused just now, comes last; before it soft plans: they may borrow.
+        asks = not inside and self.may_ask(0.5 if rq.call.repeated else 0.25 * rq.soft)
         self.spend(rq, units, not asks)
         if inside:  # pass, and add in the background
             self.next.take(rq)
@@ -256,9 +256,9 @@
         self.before.ended(rq, "rate-limit") if rq.beyond and not self.lend(rq) else self.next.take(rq)
 
     def lend(self, rq):
-        plan, now, units, loan = rq.account.plan, self.port.now, rq.call.units, []
-        soft = plan.beyond_value > plan.beyond_cost and rq.call.route.target <= self.horizon
-        if not soft or self.line.waiting or not self.next.room(rq) or not self.line.next.pick(rq):
+        now, units, loan = self.port.now, rq.call.units, []
+        fits = rq.soft and rq.call.route.target <= self.horizon and self.next.room(rq)
+        if not fits or self.line.waiting or not self.line.next.pick(rq):
             return False  # loans only fill what is free: they never wait before those inside their quota
         quiet = takewhile(lambda one: now - one.active > IDLE * self.horizon, self.accounts)
         idle = [one for one in quiet if not one.out and self.free(one) > 0]
@@ -485,7 +485,7 @@
             relaxed = self.best * (1 + RELAX * (now - self.best_at))
             self.best, self.best_at = min(self.delay(), relaxed or self.delay()), now
         # A gateway sees a server seldom, the fleet often: while answers are slow, fewer tries are out in all.
-        # Tries without an answer count less: it may be lost where work runs well; if none comes, all are stuck.
+        # Tries without an answer count less: it may be lost where work runs well, if none comes all is stuck.
         if outcome is Outcome.FULL or took > min(CROWDED * self.best or patience, patience):
             self.window = max(1.0, min(self.window, self.out + 1) * NARROW ** (1 if good else GIVEN_UP))
         elif good and 2 * self.out + 2 >= self.window:
