--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -22,7 +22,9 @@
 @pytest.mark.parametrize("seed", range(25))
 def test_rules_hold_at_every_step_of_a_random_run(seed):
     chance = random.Random(seed)
-    world = World(seed, servers=6, routes=ROUTES, plans=PLANS, largest=3.0, trued_up=seed % 2 == 0)
+    spread = (1, 2, 100)[seed % 3]  # more gateways than units in a share, too, and no counter at all
+    world = World(seed, servers=6, routes=ROUTES, plans=PLANS, largest=3.0, trued_up=seed % 2 == 0, gateways=spread,
+                  slot=seed % spread, counter_wait=0.05 if seed % 5 else 0.0)
     start, gateway, loans = world.now, world.gateway, loans_of(world)
     payers = [world.customer(index, index % 4) for index in range(12)]
     calls, told, drawn = [], world.gateway.servers_told, {}
@@ -30,7 +32,7 @@
         step = chance.random()
         if step < 0.4:
             calls.append(world.call(chance.choice(payers), chance.randrange(4), chance.choice([1.0, 2.0, 3.0]),
-                                    patience=chance.choice([None, 1.0])))
+                                    gateways=spread, patience=chance.choice([None, 1.0])))
         elif step < 0.75 and world.out:
             end = chance.choices([Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.RESET, Outcome.UNCONNECTED],
                                  [8, 2, 1, 1, 1])[0]
@@ -49,17 +51,18 @@
         elif step < 0.83 and calls and calls[-1] not in world.answers:
             gateway.client_left(calls[-1])
         world.run(chance.choice([0.0, 0.005, 0.05, 0.2]))
-        # Ceiling: this gateway's half, which began empty, and no more.
+        # Ceiling: this gateway's part, which began empty, and no more.
         for payer in payers[3::4]:
             units = sum(one.call.units for one in world.sent if one.number == 0 and one.call.customer is payer)
-            assert units <= 8.0 + 4.0 * (world.now - start) + 1e-6
+            assert units <= min(16.0, 8.0 * (world.now - start)) / spread + 8.0 / spread * (world.now - start) + 1e-6
         # Loans: never more than a guarantee, never without an owner, all whole, inside the horizon.
         for account in gateway.accounts:
             assert -1e-6 <= account.lent <= account.plan.rate / account.gateways * loans.horizon + 1e-6
             out = sum(1 for call in calls if call.rq and call.rq.sent and call.rq.account is account)
             assert account.out == out
             if account.plan.open_cap:
-                assert out <= 2
+                assert out <= max(1, 4 // spread)
+        assert gateway.upstreams.out == len(world.out)
         for call in calls:
             if call.rq and call.rq.loan:
                 assert abs(sum(part for _, part in call.rq.loan) - call.units) < 1e-6
@@ -241,3 +244,117 @@
     assert world.answers[calls[-1]] == ("rate-limited", world.now)
     world.run(0.4)
     assert sum(world.totals.values()) - counted < len(calls) / 2
+
+
+def test_where_a_share_is_less_than_a_call_one_passes_on_credit_without_word():
+    world = World(servers=30, gateways=100, counter="silent")
+    payer = world.customer()
+    calls = [world.call(payer, gateways=100) for _ in range(10)]
+    world.run(0.3)
+    assert len({one.call for one in world.sent}) == 1
+    assert sum(world.answers.get(call, ("",))[0] == "rate-limited" for call in calls) == 9
+    for _ in range(40):  # and then the saved-up share, an Nth of the rate: one in 25 s
+        world.call(payer, gateways=100)
+        world.run(1.5)
+    assert 2 <= len({one.call for one in world.sent}) <= 4
+
+
+def test_a_silent_counter_is_called_seldom_whatever_is_asked():
+    world = World(servers=30, gateways=100, counter="silent")
+    payers = [world.customer(index) for index in range(50)]
+    for step in range(600):
+        world.call(payers[step % 50], gateways=100)
+        world.run(0.05)
+    before = len(world.counts)
+    for step in range(200):
+        world.call(payers[step % 50], gateways=100)
+        world.run(0.05)
+    assert 0 < len(world.counts) - before <= 60, "a third of the calls at most, and never none"
+
+
+def test_asked_calls_leave_room_for_what_others_could_not_say():
+    full, heard = (World(servers=30) for _ in range(2))
+    full.gateway.quota.unheard.add(full.now, 30.0)
+    full.gateway.quota.said.add(full.now, 20.0)
+    for world in (full, heard):
+        payer = world.customer()
+        world.call(payer)
+        world.run(0.05)
+        world.totals = {name: total + 3.0 for name, total in world.totals.items()}
+        for _ in range(8):
+            world.call(payer)
+            world.run(0.02)
+    assert len(full.sent) < len(heard.sent)
+
+
+def slow_fleet(delay, seconds, world, payer):
+    """Calls that are answered after so long; the most tries that were out in the last half of it."""
+    end, most = world.now + seconds, 0
+    while world.now < end:
+        world.call(payer)
+        world.run(0.02)
+        for one in [one for one in world.out if world.now - one.sent > delay]:
+            world.end(one, Outcome.OK)
+        most = max(most, len(world.out)) if world.now > end - seconds / 2 else 0
+    return most
+
+
+def test_tries_out_narrow_when_the_fleet_is_slow_and_widen_again_from_one():
+    world = World(servers=20, plans=[Plan("wide", 400.0, 800.0)])
+    payer = world.customer()
+    slow_fleet(0.05, 8.0, world, payer)
+    assert slow_fleet(0.45, 12.0, world, payer) < 15, "of 22 that would be out"
+    assert slow_fleet(2.9, 12.0, world, payer) <= 3
+    slow_fleet(0.05, 6.0, world, payer)
+    assert slow_fleet(0.15, 3.0, world, payer) >= 5
+
+
+def test_tries_out_begin_at_a_part_of_the_fleet_even_if_nothing_is_answered():
+    world = World(servers=20, gateways=30, plans=[Plan("wide", 400.0, 800.0)])
+    payer, most = world.customer(), 0
+    for _ in range(300):
+        world.call(payer, gateways=1)
+        world.run(0.01)
+        most = max(most, len(world.out))
+    assert 1 <= most <= 4
+
+
+def test_lost_answers_leave_the_tries_out_wide():
+    world, chance = World(servers=20, plans=[Plan("wide", 400.0, 800.0)]), random.Random(3)
+    payer = world.customer()
+    for _ in range(1000):
+        world.call(payer)
+        world.run(0.02)
+        for one in [one for one in world.out if 0.05 < world.now - one.sent < 0.075]:
+            if chance.random() < 0.75:
+                world.end(one, Outcome.OK)
+    late = [call for call in world.answers if call.expires > world.now - 4.0]
+    assert sum(world.answers[call][0] == "proxied" for call in late) > 0.6 * len(late)
+
+
+def test_the_parts_of_many_gateways_cover_the_fleet_evenly():
+    uses = [0] * 70
+    for slot in range(100):
+        for view in World(servers=70, gateways=100, slot=slot).gateway.upstreams.part:
+            uses[view.server.id] += 1
+    assert max(uses) <= 1.5 * sum(uses) / 70 and min(uses) >= 0.5 * sum(uses) / 70
+
+
+def test_many_gateways_together_do_not_push_a_cold_server():
+    sent = []
+    for slot in range(60):
+        world = World(slot + 1, servers=12, gateways=60, slot=slot, plans=[Plan("wide", 400.0, 800.0)])
+        payer, cold = world.customer(), world.servers[0]
+        slow_fleet(0.1, 2.0, world, payer)
+        cold.up_since = world.now
+        world.gateway.servers_told([cold])
+        for _ in range(50):
+            world.call(payer)
+            world.run(0.05)
+            for one in [one for one in world.out if world.now - one.sent > 0.1]:
+                world.end(one, Outcome.OK)
+        sent += [one.sent - cold.up_since for one in world.sent if one.server is cold and one.sent >= cold.up_since]
+    # All send what 20 calls a second at 11 warm servers make; the cold one starts at a fifth and warms in 10 s.
+    for start in (0.0, 0.5, 1.0, 1.5):
+        assert sum(start <= at < start + 1.0 for at in sent) <= 2.0 * 0.4 * 60 * 50 / 11
+    assert sent and sum(at < 0.2 for at in sent) <= 20, "all at the same moment"
