--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -140,10 +140,11 @@
             return self.next.take(rq)
         self.turn(account)
         inside = account.share.read(now) >= units and now - account.told_at < FRESH
-        if account.store.read(now) < units or now < account.hold and not self.may_ask(0.5):
+        if account.store.read(now) < units or now < account.hold and (
+                rq.call.repeated or not self.may_ask(0.5)):
             return self.beyond(rq)
         self.wanted.add(now, 0.0 if inside else 1.0)
-        # Where calls are scarce a repeat, refused just now, comes last; before it soft plans: they may borrow.
+        # Where calls are scarce a repeat, refused just now, comes last, and soft plans before it.
         asks = not inside and self.may_ask(0.5 if rq.call.repeated else 0.25 * rq.soft)
         self.spend(rq, units, not asks)
         if inside:  # pass, and add in the background
@@ -237,7 +238,8 @@
             others = 0.0  # an emptied counter: what this gateway knew of the store still stands
         # While calls are scarce others, too, say only a part of what they pass: as small as this gateway's.
         others *= min(UNSAID, 1.0 + max(0.0, self.unheard.read(now)) / max(1.0, self.said.read(now)))
-        store.level = max(-self.largest, store.read(now) - others)
+        # Debts are kept for half a burst: refused asks of others count until given back, which must not make room.
+        store.level = max(min(-self.largest, -store.depth / 2), store.read(now) - others)
         share.level, share.at, account.told_at = store.level / account.gateways, now, now
         account.credit = account.most_credit if 2 * store.level > store.depth else 0.0
 
