--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -26,6 +26,7 @@
 FAILING = 0.5  # share of successes among them under which a server rests and then gets one try at a time
 REST = 4.0  # s of rest after a failure for one that only fails, less for one that fails less
 PLACES = 6.0  # places at a server, for all gateways that use it together: a few cores' worth
+WINDOW = 2.0  # tries out for each server at least, by all gateways: a core or two are not jammed by them
 PART, SEEN = 12, 2.5  # servers that a gateway uses at least; s between its tries at each, to know it well
 WIDEN, NARROW = 1.07, 0.9  # factors on all tries out for a quick and a slow answer: 4 in 10 may be slow
 GIVEN_UP = 0.25  # of a slow answer that a try without one counts: a third of the answers may be lost
@@ -106,8 +107,7 @@
         self.before.ended(rq, answer)
 
 
-class Intake(Stage):
-    """Takes API calls in and sees that each gets one final answer, in time."""
+class Intake(Stage):  # sees that each API call gets one final answer, in time
 
     def __init__(self, port, line, longest_retry_after):
         self.port, self.line, self.longest = port, line, longest_retry_after
@@ -140,8 +140,8 @@
             return self.next.take(rq)
         self.turn(account)
         inside = account.share.read(now) >= units and now - account.told_at < FRESH
-        if account.store.read(now) < units or now < account.hold and (
-                rq.call.repeated or not self.may_ask(0.5)):
+        held = now < account.hold and (rq.call.repeated or not self.may_ask(0.5))
+        if held or account.store.read(now) < units:
             return self.beyond(rq)
         self.wanted.add(now, 0.0 if inside else 1.0)
         # Where calls are scarce a repeat, refused just now, comes last, and soft plans before it.
@@ -238,7 +238,7 @@
             others = 0.0  # an emptied counter: what this gateway knew of the store still stands
         # While calls are scarce others, too, say only a part of what they pass: as small as this gateway's.
         others *= min(UNSAID, 1.0 + max(0.0, self.unheard.read(now)) / max(1.0, self.said.read(now)))
-        # Debts are kept for half a burst: refused asks of others count until given back, which must not make room.
+        # Debts are kept up to half a burst: refused asks count until given back, which must not make room.
         store.level = max(min(-self.largest, -store.depth / 2), store.read(now) - others)
         share.level, share.at, account.told_at = store.level / account.gateways, now, now
         account.credit = account.most_credit if 2 * store.level > store.depth else 0.0
@@ -248,8 +248,7 @@
         self.before.ended(rq, answer)
 
 
-class Loans(Stage):
-    """Idle customers' room, lent whole to soft-plan customers beyond their quota, for a horizon at most."""
+class Loans(Stage):  # idle customers' room, lent whole to soft-plan customers, for a horizon at most
 
     def __init__(self, port, line, accounts, horizon):
         self.port, self.line, self.accounts, self.horizon = port, line, accounts, horizon
@@ -315,7 +314,6 @@
 
 
 class Line(Stage):  # work waits here, and a server gets the next when one of its places comes free
-
     def __init__(self, port):
         self.port, self.waiting, self.look_at = port, deque(), 0.0
 
@@ -366,8 +364,7 @@
         return max(mean, now - self.tries[0].sent if self.tries else 0.0, 0.001)
 
 
-class Upstreams(Stage):
-    """Chooses servers, sends, judges them, and decides on further tries."""
+class Upstreams(Stage):  # chooses servers, sends, judges them, and decides on further tries
 
     def __init__(self, port, dice, line, zone, start, gateways, max_tries, may_cancel, horizon, cold):
         self.port, self.dice, self.line, self.gateways = port, dice, line, gateways
@@ -489,7 +486,8 @@
         # A gateway sees a server seldom, the fleet often: while answers are slow, fewer tries are out in all.
         # Tries without an answer count less: it may be lost where work runs well, if none comes all is stuck.
         if outcome is Outcome.FULL or took > min(CROWDED * self.best or patience, patience):
-            self.window = max(1.0, min(self.window, self.out + 1) * NARROW ** (1 if good else GIVEN_UP))
+            self.window = min(self.window, self.out + 1) * NARROW ** (1 if good else GIVEN_UP)
+            self.window = max(1.0, WINDOW * len(self.servers) / self.gateways, self.window)
         elif good and 2 * self.out + 2 >= self.window:
             self.window *= WIDEN
         view.seen, view.free_at = now, now if good else now + REST * (1 - view.good / FAILING)
@@ -501,8 +499,7 @@
             return False
         return self.dice.roll() < (self.helped.read(now) + 1) / (self.further.read(now) + 1)
 
-    def doubt(self, rq, one):
-        """A try that has used up PATIENCE is given up where another server should do better."""
+    def doubt(self, rq, one):  # a try out for PATIENCE is given up if another server should do better
         now, busy = self.port.now, rq.loan or rq.began or self.line.waiting or not self.may_cancel
         view = None if one.outcome or rq.done or busy or not self.may_try(rq) else self.pick(rq)
         if view and view is not one.view and now + 2 * view.delay(now, self.delay()) < rq.target_at:
