--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -6,7 +6,7 @@
 """
 
 from collections import deque
-from itertools import takewhile
+from itertools import islice, takewhile
 from math import exp, floor
 
 from .interface import Group, Outcome, Repeat, State
@@ -16,6 +16,7 @@
 FRESH = 0.5  # s that a told total is word to go by: the room left may since have gone through another gateway
 LIVES = 3.0  # windows that a count is kept: the last one's end is still read in the next
 FORGET = 180.0  # s without an ask after which a customer's account is dropped: the design's "some minutes"
+LENDERS = 200  # idle customers that a loan looks at, the longest idle: work must not grow with their number
 IDLE = 2.0  # idle time in horizons: the design wants more than one, so a returner's freeze outlives any loan
 LOST = 2.0  # largest API calls by which a total may shrink (give-backs) before the counter counts as emptied
 PACE, PACE_LEAST = 50.0, 0.2  # counter calls a second at first; share of those wanted that go on in any case
@@ -27,10 +28,9 @@
 REST = 4.0  # s of rest after a failure for one that only fails, less for one that fails less
 PLACES = 6.0  # places at a server, for all gateways that use it together: a few cores' worth
 WINDOW = 2.0  # tries out for each server at least, by all gateways: a core or two are not jammed by them
-PART, SEEN = 12, 2.5  # servers that a gateway uses at least; s between its tries at each, to know it well
+PART, SEEN, REDRAW = 12, 2.5, 1.0  # servers used at least; s between tries at each, to know it; between looks
 WIDEN, NARROW = 1.07, 0.9  # factors on all tries out for a quick and a slow answer: 4 in 10 may be slow
 GIVEN_UP = 0.25  # of a slow answer that a try without one counts: a third of the answers may be lost
-REDRAW = 1.0  # s between looks at that part: far less than it takes to judge a server
 UNSAID = 3.0  # times what is said that is taken to have passed, at most: beyond that it is guesswork
 HOLD = 5.0  # s, about, at most, that a customer told to be without room is left alone: a spike is over
 CROWDED = 2.5  # times the usual delay at its best from which an answer is slow: servers should hold no lines
@@ -262,7 +262,7 @@
         if not fits or self.line.waiting or not self.line.next.pick(rq):
             return False  # loans only fill what is free: they never wait before those inside their quota
         quiet = takewhile(lambda one: now - one.active > IDLE * self.horizon, self.accounts)
-        idle = [one for one in quiet if not one.out and self.free(one) > 0]
+        idle = [one for one in islice(quiet, LENDERS) if not one.out and self.free(one) > 0]
         for lender in sorted(idle, key=self.free, reverse=True):
             loan.append((lender, min(self.free(lender), units)))
             units -= loan[-1][1]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,7 +12,7 @@
 ROUTES = [Route("read", 1.0, 3.0), Route("marked", 1.5, 4.0, Repeat.TOKENED, Group.ZONE, 2.0),
           Route("marked-all", 1.5, 4.0, Repeat.TOKENED, Group.ALL, 1.0), Route("once", 1.0, 3.0, Repeat.NON_IDEMPOTENT)]
 PLANS = [Plan("hard", 4.0, 8.0, beyond_cost=1.0), Plan("soft", 2.0, 4.0, beyond_value=0.3),
-         Plan("capped", 6.0, 12.0, open_cap=4), Plan("ceiled", 6.0, 12.0, ceiling_rate=8.0, ceiling_burst=16.0)]
+         Plan("capped", 6.0, 12.0, open_cap=4), Plan("ceiled", 6.0, 12.0, ceiling_rate=8.0, ceiling_burst=16.0), Plan("unlimited")]
 
 
 def loans_of(world):
@@ -26,7 +26,7 @@
     world = World(seed, servers=6, routes=ROUTES, plans=PLANS, largest=3.0, trued_up=seed % 2 == 0, gateways=spread,
                   slot=seed % spread, counter_wait=0.05 if seed % 5 else 0.0)
     start, gateway, loans = world.now, world.gateway, loans_of(world)
-    payers = [world.customer(index, index % 4) for index in range(12)]
+    payers = [world.customer(index, index % 4) for index in range(12)] + [world.customer(99, 4)]
     calls, told, drawn = [], world.gateway.servers_told, {}
     for _ in range(600):
         step = chance.random()
