SIGHUP: reread the start file, move the watch and the counter to their new addresses

Ruled out: nothing else ended the process; its log stops in mid-serving.

Now SIGHUP waits beside SIGTERM from before the first thread on. The watch at the new address is dialled at once and asked from nothing; the counter keeps a place's old connection until one to the new address is up, and what is out on the old one is still heard. A total must be a decimal number: nan, inf and error lines of no known kind count as added. Tests: routing (moves, a move during a move, silence), program (SIGHUP under load, a broken file), protocol (totals).

--- a/brookhub/program/run.py
+++ b/brookhub/program/run.py
@@ -10,6 +10,7 @@
 
 from ..policy import Gateway
 from ..routing.clients import Clients
+from ..routing.connections import Dialling
 from ..routing.counter import Counter
 from ..routing.discovery import Discovery
 from ..routing.port import SocketPort
@@ -31,6 +32,7 @@
 PAUSES = (0.05, 1.0)  # s between two dials, doubled while they bring nothing
 GRAIN = 0.001  # s between looks at the timers: each costs a thread's wake; no timer is that exact
 GARBAGE = 5000  # objects made between two looks for garbage in cycles: that of about a hundred API calls
+SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
 ACCEPTS_ON = 0.45  # s after SIGTERM while new connections still come: 0.4 s, and some way
 LONGEST, AFTER = 3.0, 0.4  # s after SIGTERM by which all is answered: the longest client timeout, this at the
 # most, and some more; SIGKILL may come 0.7 s after that
@@ -47,12 +49,14 @@
         servers_most = max(8, int(start.sockets * SERVER_PART))
         clients_most = max(8, start.sockets - servers_most - COUNTER_LINKS - SPARE)
         port.servers = Servers(port, ends, start.connect_within, start.server_idle_for * IDLE_PART, servers_most)
+        self.start = start
         port.discovery = self.discovery = Discovery(
-            port, ends, start.discovery, start.zones, start.kinds, time() - monotonic(), DISCOVERY_CONNECT,
-            DISCOVERY_SILENT, PAUSES)
+            port, lambda address: Dialling("discovery", address, DISCOVERY_CONNECT, PAUSES, ends, self.fault),
+            start.zones, start.kinds, time() - monotonic(), DISCOVERY_SILENT)
         if start.counter:
-            port.counter = Counter(port, ends, start.counter, start.terms["counter_wait"], COUNTER_LINKS,
-                                   COUNTER_CONNECT, COUNTER_SILENT, PAUSES)
+            port.counter = Counter(
+                port, lambda address: Dialling("counter", address, COUNTER_CONNECT, PAUSES, ends, self.fault),
+                start.terms["counter_wait"], COUNTER_LINKS, COUNTER_SILENT)
         self.clients = Clients(
             port, ends, start.terms["routes"], start.terms["plans"], self.discovery.fit, clients_most, SPARE // 2,
             start.most_calls, int(start.memory * CLIENT_HELD), int(start.memory * ALL_HELD), STALLED, LINGER)
@@ -72,9 +76,7 @@
         self.log.error("fault", exc_info=met)
 
     def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then answer what was taken."""
-        stops = {signal.SIGTERM, signal.SIGINT}
-        signal.pthread_sigmask(signal.SIG_BLOCK, stops)
+        """Serve until SIGTERM or SIGINT, then answer what was taken; SIGHUP has the start file read again."""
         small_stacks()
         gc.freeze()  # what stands now stands to the end
         gc.set_threshold(GARBAGE)
@@ -82,15 +84,29 @@
         port.run(monotonic(), port.servers.retire)
         spawn("timers", port.run_timers)
         if port.counter:
+            port.run(monotonic(), port.counter.move, self.start.counter)
             port.run(monotonic(), port.counter.beat)
-            for link in port.counter.links:
-                spawn("counter", link.run)
-        spawn("discovery", self.discovery.run)
+        port.run(monotonic(), self.discovery.move, self.start.discovery)
         spawn("accept", self.listener.run, self.clients.accepted)
         self.log.info("serving")
-        signal.sigwait(stops)
+        while signal.sigwait(SIGNALS) == signal.SIGHUP:
+            self.reload()
         self.stop(monotonic())
 
+    def reload(self) -> None:
+        """Read the start file again: discovery and the counter move to where it says; the rest holds from the next
+        start on. One that can't be used changes nothing."""
+        try:
+            start = startfile.read(os.environ, again=True)
+        except StartError as refused:
+            return self.log.error("not reloaded", why=str(refused))
+        self.port.run(monotonic(), self.discovery.move, start.discovery)
+        if self.port.counter and start.counter:
+            self.port.run(monotonic(), self.port.counter.move, start.counter)
+        waits = start.terms != self.start.terms or start.listen != self.start.listen
+        self.log.info("reloaded", discovery="%s:%d" % start.discovery, waits_for_a_start=waits,
+                      counter="%s:%d" % start.counter if start.counter else None)
+
     def stop(self, told_at: float) -> None:
         self.log.info("stopping")
         answers_by = told_at + min(LONGEST, self.longest) + AFTER
@@ -106,6 +122,7 @@
 
 
 def main() -> int:
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # before the first thread; one that comes early waits its turn
     try:
         program = Program(startfile.read(os.environ))
     except StartError as refused:
--- a/brookhub/program/startfile.py
+++ b/brookhub/program/startfile.py
@@ -16,10 +16,11 @@
 class Start:
     """The start file, read and checked."""
 
-    def __init__(self, told: dict, environment: Mapping[str, str]):
+    def __init__(self, told: dict, environment: Mapping[str, str], again: bool):
         self.name = str(environment.get("NODE_NAME") or told.get("name") or "limiter")
         self.listen = address(environment.get("NODE_LISTEN") or told.get("listen"), "listen")
-        self.discovery = address(environment.get("NODE_DISCOVERY") or told.get("discovery"), "discovery")
+        variable, said = environment.get("NODE_DISCOVERY"), told.get("discovery")
+        self.discovery = address((said or variable) if again else (variable or said), "discovery")
         settings = part(told, "settings")
         if not settings:
             raise StartError("settings are missing")
@@ -59,7 +60,8 @@
         raise StartError(f"{what}: an address of the form HOST:PORT is needed, not {text!r}") from None
 
 
-def read(environment: Mapping[str, str]) -> Start:
+def read(environment: Mapping[str, str], again: bool = False) -> Start:
+    """The file is the newer word where it is read again: the variables are those of the program's start."""
     path = environment.get("NODE_CONFIG")
     if not path:
         raise StartError("NODE_CONFIG is not set: it names the start file")
@@ -69,6 +71,6 @@
     except OSError as broken:
         raise StartError(f"{path}: {broken.strerror}") from None
     try:
-        return Start(parse(text), environment)
+        return Start(parse(text), environment, again)
     except (TermsError, StartError) as broken:
         raise StartError(f"{path}: {broken}") from None
--- a/brookhub/protocol/counts.py
+++ b/brookhub/protocol/counts.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import re
+
 from . import resp
 
+NUMBER = re.compile(rb"[-+]?(\d{1,18}(\.\d{0,18})?|\.\d{1,18})([eE][-+]?\d{1,2})?")  # finite, as decimal text
 PING = resp.command(b"PING")
 
 
@@ -14,12 +17,9 @@
 
 
 def total(said) -> float | None:
-    """The total in an answer, or None where nothing was added. Raises Malformed on what is neither."""
-    if isinstance(said, resp.Failure):
+    """The total in an answer, or None where nothing was added. Raises Malformed on what is neither: it was added."""
+    if isinstance(said, resp.Failure) and said.split(b" ", 1)[0] in (b"BUSY", b"ERR"):
         return None
-    try:
-        if type(said) is bytes:
-            return float(said)
-    except ValueError:
-        pass
+    if type(said) is bytes and NUMBER.fullmatch(said):
+        return float(said)
     raise resp.Malformed("the counter's answer is neither a total nor an error")
--- a/brookhub/routing/connections.py
+++ b/brookhub/routing/connections.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from time import monotonic, sleep
+from threading import Event
+from time import monotonic
 from typing import Callable
 
 from ..protocol.resp import Malformed
@@ -28,24 +29,31 @@
         return "fault"
 
 
-def keep_dialled(peer: str, address: tuple[str, int], within: float, pauses: tuple[float, float],
-                 serve: Callable[[object], tuple[str, int]], log_end: Callable, faults: Callable) -> None:
-    """Dial, have the connection served, and dial again: at once, or after longer and longer pauses while no
-    connection brings an answer. `serve` tells why its connection ended and how many answers it brought."""
-    pause, longest = pauses
-    while True:
-        began = monotonic()
-        try:
-            sock = dial(address, within)
-        except OSError:
-            reason, answers = "unconnected", 0
-        else:
+class Dialling:
+    """One peer's address, kept dialled by a thread: at once, or after longer and longer pauses while no connection
+    brings an answer, until it is `over`."""
+
+    def __init__(self, peer: str, address: tuple[str, int], within: float, pauses: tuple[float, float],
+                 log_end: Callable, faults: Callable):
+        self.peer, self.address, self.within, self.pauses = peer, address, within, pauses
+        self.log_end, self.faults, self.over = log_end, faults, Event()
+
+    def run(self, serve: Callable[[object], tuple[str, int]]) -> None:
+        """`serve` tells why its connection ended and how many answers it brought."""
+        pause, longest = self.pauses
+        while not self.over.is_set():
+            began = monotonic()
             try:
-                reason, answers = serve(sock)
-            except Exception as met:  # the next connection may fare better
-                faults(met)
-                sock.close()
-                reason, answers = "fault", 0
-        log_end(peer, reason, None, monotonic() - began, answers)
-        pause = pauses[0] if answers else min(longest, 2 * pause)
-        sleep(pause)
+                sock = dial(self.address, self.within)
+            except OSError:
+                reason, answers = "unconnected", 0
+            else:
+                try:
+                    reason, answers = serve(sock)
+                except Exception as met:  # the next connection may fare better
+                    self.faults(met)
+                    sock.close()
+                    reason, answers = "fault", 0
+            self.log_end(self.peer, reason, None, monotonic() - began, answers)
+            pause = self.pauses[0] if answers else min(longest, 2 * pause)
+            self.over.wait(pause)
--- a/brookhub/routing/counter.py
+++ b/brookhub/routing/counter.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from collections import deque
+from functools import partial
 from time import monotonic
 from typing import Callable
 
 from ..interface import Outcome, Told
 from ..protocol import counts, resp
 from ..transport.stream import Stream
-from .connections import keep_dialled, read_to_end
+from ..transport.threads import spawn
+from .connections import Dialling, read_to_end
 
 
 class Count:
@@ -29,14 +31,12 @@
 class CounterLink:
     """One connection to the counter, and the thread that dials it, reads it and dials again."""
 
-    def __init__(self, counter: Counter):
-        self.counter, self.stream, self.waiting = counter, None, deque()
-        self.heard_at = 0.0
+    def __init__(self, counter: Counter, place: int, dialling: Dialling):
+        self.counter, self.place, self.dialling = counter, place, dialling
+        self.stream, self.waiting, self.heard_at = None, deque(), 0.0
 
     def run(self) -> None:
-        counter = self.counter
-        keep_dialled("counter", counter.address, counter.connect_within, counter.pauses, self.serve, counter.log_end,
-                     counter.port.faults)
+        self.dialling.run(self.serve)
 
     def serve(self, sock) -> tuple[str, int]:
         port, reader, answers = self.counter.port, resp.Reader(), 0
@@ -44,9 +44,12 @@
 
         def took(at: float) -> None:
             nonlocal answers
-            said = list(reader.feed(stream.inbound))
-            answers += len(said)
-            port.run(at, self.answered, stream, said)
+            said = []
+            try:
+                said.extend(reader.feed(stream.inbound))
+            finally:  # what could be read before bytes that can't is true
+                answers += len(said)
+                port.run(at, self.answered, stream, said)
 
         port.run(monotonic(), self.up, stream)
         stream.end(read_to_end(stream, took, port.faults))
@@ -58,6 +61,21 @@
 
     def up(self, stream: Stream) -> None:
         self.stream, self.heard_at = stream, self.counter.port.now
+        if self.dialling.over.is_set():
+            stream_end(self.counter.port, stream, "moved")
+        else:
+            self.counter.take_over(self)
+
+    def leave(self) -> None:
+        """Its place is taken: what is out on it is still heard, as long as the counter has anything to say."""
+        self.dialling.over.set()
+        self.settled()
+        if self.stream:
+            self.counter.port.later(self.counter.silent_after, partial(stream_end, self.counter.port, self.stream, "moved"))
+
+    def settled(self) -> None:
+        if self.dialling.over.is_set() and self.stream and not self.waiting:
+            stream_end(self.counter.port, self.stream, "moved")
 
     def down(self, stream: Stream) -> None:
         """What was written whole may have been added, or may yet be; the rest was not."""
@@ -65,6 +83,9 @@
         for one in waiting:
             whole = one.ends_at <= stream.tried
             one.end(self.counter.port.now, Outcome.TIMEOUT if whole else Outcome.UNCONNECTED)
+        coming = self.counter.coming[self.place]
+        if coming is not self:  # not dialled again: the counter is at another address
+            self.counter.take_over(coming)
 
     def ask(self, one: Count, command: bytes) -> bool:
         stream = self.stream
@@ -93,6 +114,7 @@
                 one.end(self.heard_at, Outcome.TIMEOUT)
                 continue
             one.end(self.heard_at, Outcome.FULL if total is None else Outcome.OK, total or 0.0)
+        self.settled()
 
     def beat(self) -> None:
         """Keep an idle connection open, and leave one that has gone silent."""
@@ -110,16 +132,31 @@
 
 
 class Counter:
-    """The counter as the decisions ask it."""
-
-    def __init__(self, port, log_end: Callable, address: tuple[str, int], wait: float, links: int,
-                 connect_within: float, silent_after: float, pauses: tuple[float, float]):
-        self.port, self.log_end, self.address, self.wait = port, log_end, address, wait
-        self.connect_within, self.silent_after = connect_within, silent_after
-        self.pauses = pauses  # the least and the longest
-        self.links = [CounterLink(self) for _ in range(links)]
+    """The counter as the decisions ask it: a few places, each of a connection that calls are written to."""
+
+    def __init__(self, port, dialling: Callable[[tuple], Dialling], wait: float, links: int, silent_after: float):
+        self.port, self.dialling, self.wait, self.silent_after = port, dialling, wait, silent_after
+        self.address, self.links, self.coming = None, [None] * links, [None] * links
         self.asked: deque[Count] = deque()  # the oldest first, until answered or given up
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Call there from now on. Until a connection to it is up, its place keeps the one that it has."""
+        if address == self.address:
+            return
+        self.address = address
+        for place, held in enumerate(self.coming):
+            if held and held is not self.links[place]:
+                held.leave()
+            link = self.coming[place] = CounterLink(self, place, self.dialling(address))
+            if self.links[place] is None or self.links[place].stream is None:
+                self.take_over(link)
+            self.port.todo.append((spawn, "counter", link.run))
+
+    def take_over(self, link: CounterLink) -> None:
+        held, self.links[link.place] = self.links[link.place], link
+        if held and held is not link:
+            held.leave()
+
     def count(self, name: int, amount: float, lives: float, told: Told) -> None:
         """A name keeps to one connection, so its totals come in the order of the calls."""
         one = Count(told, self.port.now)
--- a/brookhub/routing/discovery.py
+++ b/brookhub/routing/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from time import monotonic
 from typing import Callable
 
 from ..interface import State
@@ -9,43 +10,81 @@
 from ..roster import Roster
 from ..transport.sockets import time_limits
 from ..transport.stream import Stream
-from .connections import keep_dialled, read_to_end
+from ..transport.threads import spawn
+from .connections import Dialling, read_to_end
 
 
-class Discovery:
-    """What is known of the servers, and who is asked for news of them."""
+class Watch:
+    """The watch at one address, and the thread that dials it, reads it and dials again."""
 
-    def __init__(self, port, log_end: Callable, address: tuple[str, int], zones: list[str], kinds: list[str],
-                 clock_ahead: float, connect_within: float, silent_after: float, pauses: tuple[float, float]):
-        self.port, self.log_end, self.address, self.clock_ahead = port, log_end, address, clock_ahead
-        self.zones, self.kinds, self.connect_within = list(zones), list(kinds), connect_within
-        self.silent_after, self.pauses = silent_after, pauses  # the least and the longest
-        self.roster, self.version, self.begun = Roster(), 0, False
+    def __init__(self, discovery: Discovery, dialling: Dialling):
+        self.discovery, self.dialling, self.stream = discovery, dialling, None
 
     def run(self) -> None:
-        keep_dialled("discovery", self.address, self.connect_within, self.pauses, self.watch, self.log_end,
-                     self.port.faults)
+        self.dialling.run(self.serve)
 
-    def watch(self, sock) -> tuple[str, int]:
-        stream, reader, count = Stream(sock, 2 * http.LONGEST_HEAD), http.Lines(), 0
+    def serve(self, sock) -> tuple[str, int]:
+        port, reader, count = self.discovery.port, http.Lines(), 0
+        stream = Stream(sock, 2 * http.LONGEST_HEAD)
 
         def took(at: float) -> bool:
             nonlocal count
             for line in reader.feed(stream.inbound):
                 if line.strip():
-                    self.port.run(at, self.heard, hosts.parse(line))
+                    port.run(at, self.heard, hosts.parse(line))
                 count += 1
             return reader.ended
 
-        time_limits(sock, reading=self.silent_after)
-        stream.put(http.request("%s:%d" % self.address, f"/v1/servers?stream=1&index={self.version}"))
+        time_limits(sock, reading=self.discovery.silent_after)
+        port.run(monotonic(), self.up, stream)
         stream.flush()
-        stream.end(read_to_end(stream, took, self.port.faults))
+        stream.end(read_to_end(stream, took, port.faults))
         stream.close()
         return stream.reason, count
 
+    # under the port's lock
+
+    def up(self, stream: Stream) -> None:
+        self.stream = stream
+        stream.put(http.request("%s:%d" % self.dialling.address,
+                                f"/v1/servers?stream=1&index={self.discovery.version}"))
+        if self.dialling.over.is_set():
+            self.leave()
+
+    def heard(self, news: hosts.News) -> None:
+        if not self.dialling.over.is_set():
+            self.discovery.heard(news)
+
+    def leave(self) -> None:
+        """Another address is watched from now on."""
+        self.dialling.over.set()
+        if self.stream:
+            self.discovery.port.todo.append((self.stream.end, "moved"))
+
+
+class Discovery:
+    """What is known of the servers, and where news of them are watched."""
+
+    def __init__(self, port, dialling: Callable[[tuple], Dialling], zones: list[str], kinds: list[str],
+                 clock_ahead: float, silent_after: float):
+        self.port, self.dialling, self.clock_ahead = port, dialling, clock_ahead
+        self.zones, self.kinds, self.silent_after = list(zones), list(kinds), silent_after
+        self.roster, self.version, self.begun, self.watch = Roster(), 0, False, None
+
+    # under the port's lock
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Watch there from now on. Its versions may be of another count: the first news of it counts in any case."""
+        if self.watch:
+            if self.watch.dialling.address == address:
+                return
+            self.watch.leave()
+            self.version = 0
+        self.watch = Watch(self, self.dialling(address))
+        self.port.todo.append((spawn, "discovery", self.watch.run))
+
     def heard(self, news: hosts.News) -> None:
-        """Take in a list, whole or what changed since the last one; under the port's lock."""
+        """Take in a list, whole or what changed since the last one."""
         if not news.whole and news.version <= self.version and self.version:
             return  # told before
         self.version = news.version
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,6 +1,7 @@
 """The program itself, started and spoken to over sockets, with stand-ins for all its peers on loopback."""
 
 import contextlib
+import json
 import os
 import random
 import signal
@@ -13,7 +14,7 @@
 
 import pytest
 
-from helpers import (Client, DiscoveryStandIn, Program, ServerStandIn, api_call, command, host, read_value, until)
+from helpers import (Client, CounterStandIn, DiscoveryStandIn, Program, ServerStandIn, api_call, command, host, read_value, until)
 
 
 @pytest.fixture
@@ -314,6 +315,46 @@
     assert program.process.wait(5) == 0 and time.monotonic() - told_at < 2.7
 
 
+def test_sighup_moves_discovery_and_counter_under_load_and_a_broken_file_changes_nothing(started, tmp_path):
+    program = started(servers=[ServerStandIn([0.002] * 999)])
+    told, answers, stop = json.loads((tmp_path / "config.json").read_text()), [], threading.Event()
+    before = program.descriptors()
+
+    def talk(number):
+        with Client(program) as client:
+            while not stop.is_set():
+                answers.append(client.ask(api_call(len(answers) * 8 + number, customer=len(answers))))
+
+    talkers = [threading.Thread(target=talk, args=(number,)) for number in range(3)]
+    for one in talkers:
+        one.start()
+    try:
+        for _ in range(3):
+            old = program.counter, program.discovery
+            program.counter, program.discovery = CounterStandIn(), DiscoveryStandIn(old[1].hosts)
+            told.update(counter=program.counter.address, discovery=program.discovery.address)
+            (tmp_path / "config.json").write_text(json.dumps(told))
+            program.process.send_signal(signal.SIGHUP)
+            assert until(lambda: program.counter.asked > 5 and program.discovery.asked)
+            assert until(lambda: not old[0].open and not old[1].open)  # left, though they did not close
+            for one in old:
+                one.close()
+        (tmp_path / "config.json").write_text("{")
+        program.process.send_signal(signal.SIGHUP)
+        assert until(lambda: "not reloaded" in program.log_path.read_text())
+        asked = program.counter.asked
+        assert until(lambda: program.counter.asked > asked + 5)
+    finally:
+        stop.set()
+        for one in talkers:
+            one.join()
+    assert len(answers) > 50 and all(answer != b"-ERR failed" for answer in answers)
+    assert program.log_path.read_text().count('"not reloaded"') == 1 and program.log_path.read_text().count('"reloaded"') == 3
+    assert program.descriptors() <= before + 6 and program.process.poll() is None  # three to the server, two to the counter
+    program.process.send_signal(signal.SIGTERM)
+    assert program.process.wait(5) == 0
+
+
 def test_a_kill_and_a_start_from_nothing(started, tmp_path):
     program = started()
     with Client(program) as client:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -167,7 +167,9 @@
     assert counts.add(5, 0.0, 0.0) == word([b"ADDGET", b"5", b"0", b"1"])
     assert counts.add(2 ** 64 - 1, 1e-9, 99.0).split(b"\r\n")[6] == b"0"
     assert counts.total(b"38.25") == 38.25 and counts.total(resp.Failure(b"BUSY")) is None
-    for said in (b"many", None, [b"1"], 7, resp.Status(b"OK")):
+    assert counts.total(b"-1.5e+07") == -1.5e7 and counts.total(resp.Failure(b"ERR no such call")) is None
+    for said in (b"many", None, [b"1"], 7, resp.Status(b"OK"), b"nan", b"inf", b"-infinity", b"1_0", b" 1", b"", b"1e999", b"1" * 99,
+                 resp.Failure(b"%$"), resp.Failure(b"BUSYBODY")):
         with pytest.raises(resp.Malformed):
             counts.total(said)
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -9,8 +9,9 @@
 
 from brookhub.interface import ApiCall, Customer, Outcome, Plan, Route, Server, State
 from brookhub.protocol import calls, hosts, resp
-from brookhub.routing import servers as servers_module
+from brookhub.routing import counter as counter_module, discovery as discovery_module, servers as servers_module
 from brookhub.routing.clients import Client as ClientConnection, Clients
+from brookhub.routing.connections import Dialling
 from brookhub.routing.counter import Counter
 from brookhub.routing.discovery import Discovery
 from brookhub.routing.port import SocketPort
@@ -61,6 +62,8 @@
     """A port whose events run at once; connections to servers are dialled when the test says so."""
     faults, dialled = [], []
     monkeypatch.setattr(servers_module, "spawn", lambda name, work: dialled.append(work.__self__) or True)
+    for module in (counter_module, discovery_module):
+        monkeypatch.setattr(module, "spawn", lambda name, work: True)
     made = SocketPort(faults.append, 0.0)
     made.gateway, made.dialled = Decisions(), dialled
     made.servers = Servers(made, lambda *_: None, 0.25, 5.0, 3)
@@ -255,9 +258,14 @@
     assert heard == ["no such room"] and clients.open_calls == clients.asked == 0 and client in clients.idle
 
 
+def dialling(address):
+    return Dialling("peer", address, 0.5, (0.05, 1.0), lambda *_: None, lambda met: None)
+
+
 def counter_of(port, links=2):
-    made = Counter(port, lambda *_: None, ("127.0.0.1", 1), 0.08, links, 0.5, 1.0, (0.05, 1.0))
-    for link in made.links:
+    made = Counter(port, dialling, 0.08, links, 1.0)
+    at(port, made.move, ("127.0.0.1", 1))
+    for link in made.coming:
         at(port, link.up, Remembering())
     return made
 
@@ -323,6 +331,65 @@
     assert doubt[0][0] is Outcome.TIMEOUT and link.stream.reason == "nonsense"
 
 
+def test_a_moved_counter_answers_what_is_out_and_gets_what_is_new_once_it_is_up(port):
+    counter = counter_of(port, 1)
+    old, out = counter.links[0], ask(port, counter)
+    at(port, counter.move, ("127.0.0.1", 2))
+    new, before = counter.coming[0], ask(port, counter)
+    stream = old.stream
+    assert len(stream.said) == 2 and not old.dialling.over.is_set()  # none is up at the new address yet
+    at(port, new.up, Remembering())
+    after = ask(port, counter)
+    assert len(stream.said) == 2 and len(new.stream.said) == 1 and stream.reason is None
+    at(port, old.answered, stream, [b"1", b"2"])
+    at(port, new.answered, new.stream, [b"3"])
+    assert [heard[0][1] for heard in (out, before, after)] == [1.0, 2.0, 3.0]
+    assert stream.reason == "moved" and old.dialling.over.is_set() and not new.dialling.over.is_set()
+
+
+def test_a_counter_that_moves_again_or_dies_while_it_moves_is_left_for_the_newest(port):
+    counter = counter_of(port, 1)
+    old = counter.links[0]
+    at(port, counter.move, ("127.0.0.1", 2))
+    second = counter.coming[0]
+    at(port, counter.move, ("127.0.0.1", 3))
+    newest = counter.coming[0]
+    assert second.dialling.over.is_set() and counter.links[0] is old
+    at(port, second.up, Remembering())  # its dial came up too late
+    assert second.stream.reason == "moved" and counter.links[0] is old
+    lost = ask(port, counter)
+    at(port, old.down, old.stream)
+    assert counter.links[0] is newest and old.dialling.over.is_set() and lost[0][0] is Outcome.TIMEOUT
+    at(port, counter.move, ("127.0.0.1", 3))
+    assert counter.coming[0] is newest  # nothing new was said
+    at(port, newest.up, Remembering())
+    silent = ask(port, counter)
+    at(port, counter.move, ("127.0.0.1", 4))
+    at(port, counter.coming[0].up, Remembering())
+    stream = newest.stream
+    advance(port, 1.1)
+    assert stream.reason == "moved" and silent[0][0] is Outcome.TIMEOUT  # a silent one is not kept for ever
+
+
+def test_a_moved_watch_is_asked_anew_and_the_old_one_is_not_heard_any_more(port):
+    watch = Discovery(port, dialling, ["a", "b"], [], 0.0, 4.5)
+    at(port, watch.move, ("127.0.0.1", 1))
+    old, stream = watch.watch, Remembering()
+    at(port, old.up, stream)
+    at(port, old.heard, news(50, True, ("x", "Ready", 0)))
+    at(port, watch.move, ("127.0.0.1", 1))
+    assert watch.watch is old and stream.reason is None
+    at(port, watch.move, ("127.0.0.1", 2))
+    assert stream.reason == "moved" and old.dialling.over.is_set()
+    at(port, old.heard, news(51, True))
+    assert watch.fit() and len(port.gateway.lists) == 1
+    fresh = Remembering()
+    at(port, watch.watch.up, fresh)
+    assert b"index=0 " in fresh.said[0]
+    at(port, watch.watch.heard, news(3, False, ("x", "Terminating", 0)))  # a count of its own
+    assert port.gateway.lists[-1][0][1] is State.DRAINING
+
+
 def test_a_full_ring_adds_nothing(port):
     counter = counter_of(port, 1)
     counter.links[0].stream.full = True
@@ -336,7 +403,7 @@
 
 
 def test_lists_and_changes_reach_the_decisions_in_their_order_and_once(port):
-    watch = Discovery(port, lambda *_: None, ("127.0.0.1", 1), ["a", "b"], [], 1000.0, 1.0, 4.5, (0.05, 1.0))
+    watch = Discovery(port, dialling, ["a", "b"], [], 1000.0, 4.5)
     port.servers.leave = lambda server: None
     assert not watch.fit()
     at(port, watch.heard, news(5, True, ("x", "Ready", 0), ("y", "Ready", 1500000)))
