Quota: shares fill from the launch on, broken counter links slow nothing, crowds leave no records

Tests: crowds of 3000 one-time customers, the share of a customer first met late, what slows the pace, no timer for a refused call; each fails without its change.

--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -15,7 +15,7 @@
 BATCH = 0.15  # s, about, that units wait to be added in the background: far inside any window
 FRESH = 0.5  # s that a told total is word to go by: the room left may since have gone through another gateway
 LIVES = 3.0  # windows that a count is kept: the last one's end is still read in the next
-FORGET = 180.0  # s without an ask after which a customer's account is dropped: the design's "some minutes"
+FORGET, LOOKS = 180.0, 8  # s without an ask until a record goes: "some minutes"; those looked at an ask
 LENDERS = 200  # idle customers that a loan looks at, the longest idle: work must not grow with their number
 IDLE = 2.0  # idle time in horizons: the design wants more than one, so a returner's freeze outlives any loan
 LOST = 2.0  # largest API calls by which a total may shrink (give-backs) before the counter counts as emptied
@@ -93,13 +93,15 @@
         plan, part = customer.plan, 1.0 / gateways
         self.customer, self.plan, self.gateways, self.active = customer, plan, gateways, now
         self.store = Store(plan.rate, plan.burst, plan.burst, now)
-        # A launch may be a restart: what an earlier life spent is unknown, so the own shares start empty.
-        self.share = Store(plan.rate * part, max(plan.burst * part, largest), 0.0, now)
         # Where an Nth is less than one API call, one may pass unasked if the counter can't be asked.
         self.credit = self.most_credit = largest if plan.burst * part < largest else 0.0
+        # A launch may be a restart: what an earlier life spent is unknown, so the own shares are empty then.
+        depth, since = max(plan.burst * part, largest), now if self.credit else launched
+        self.share = Store(plan.rate * part, depth, 0.0, since)
         self.ceiling = Store(plan.ceiling_rate * part, plan.ceiling_burst * part, 0.0, launched)
         self.window, self.total, self.unsaid, self.told_at, self.hold = None, 0.0, 0.0, -FORGET, 0.0
         self.lent, self.out = 0.0, 0
+        self.refills = max(one.depth / max(one.rate, 1e-9) for one in (self.store, self.share, self.ceiling))
 
 
 class Stage:
@@ -113,10 +115,10 @@
         self.port, self.line, self.longest = port, line, longest_retry_after
 
     def take(self, rq):
-        rq.call.rq = rq
-        self.port.later(max(0.0, rq.call.expires - self.port.now), lambda: self.line.next.give_up(rq))
-        rq.wait = self.line.too_long(rq)  # asked before counting: it should not use up the quota
+        rq.call.rq, rq.wait = rq, self.line.too_long(rq)  # before counting: it should not use up the quota
         self.ended(rq, "rate-limit") if rq.wait else self.next.take(rq)
+        left = max(0.0, rq.call.expires - self.port.now)
+        rq.done or self.port.later(left, lambda: self.line.next.give_up(rq))
 
     def ended(self, rq, answer):
         route, rq.done, rq.call.rq = rq.call.route, True, None
@@ -191,10 +193,9 @@
         account.unsaid += units
 
     def flush(self, account):  # as far as the pace leaves room beside the asks
-        if account.unsaid and self.may_ask(0.5):
-            self.say(account, 0.0)
-        elif account.unsaid:
-            self.port.later(BATCH, lambda: self.flush(account))
+        if account.unsaid:
+            again = lambda: self.flush(account)
+            self.say(account, 0.0) if self.may_ask(0.5) else self.port.later(BATCH, again)
 
     def turn(self, account):
         """Move to the current window (customers out of step), reading what others still added to the last."""
@@ -215,9 +216,10 @@
 
         def told(outcome, total, took):
             pace, now, wanted = self.pace, self.port.now, max(1.0, self.wanted.read(self.port.now) / MEMORY)
-            if outcome is Outcome.OK and took < LATE * self.counter_wait:
+            late = outcome is Outcome.FULL or took >= LATE * self.counter_wait  # not where a connection broke
+            if outcome is Outcome.OK and not late:
                 pace.rate += QUICKER * wanted
-            elif now >= self.slowed:  # once for each wait
+            elif late and now >= self.slowed:  # once for each wait
                 pace.rate, self.slowed = max(PACE_LEAST * wanted, pace.rate * SLOWER), now + self.counter_wait
             current = window == account.window
             if outcome is Outcome.OK:
@@ -234,8 +236,8 @@
 
     def learn(self, account, others):
         now, store, share = self.port.now, account.store, account.share
-        if others < -LOST * self.largest:
-            others = 0.0  # an emptied counter: what this gateway knew of the store still stands
+        # Below that it is an emptied counter: what this gateway knew of the store still stands.
+        others = others if others >= -LOST * self.largest else 0.0
         # While calls are scarce others, too, say only a part of what they pass: as small as this gateway's.
         others *= min(UNSAID, 1.0 + max(0.0, self.unheard.read(now)) / max(1.0, self.said.read(now)))
         # Debts are kept up to half a burst: refused asks count until given back, which must not make room.
@@ -349,9 +351,7 @@
         self.server, self.up_since, self.tries, self.places = server, server.up_since, [], places
         self.outcomes, self.good, self.free_at, self.seen = deque([True] * OUTCOMES, OUTCOMES), 1.0, 0.0, 0.0
         self.took, self.ends = Fading(), Fading()
-        # Tries it may get while cold, at first a part of one by chance: gateways that each hold a crumb of it
-        # must not all come to a whole try at the same moment.
-        self.cold = Store(0.0, 1.0, phase, now)
+        self.cold = Store(0.0, 1.0, phase, now)  # tries while cold, first a part of one: no rush of crumbs
 
     def open(self, now):
         """Whether a place is free. Who fails gets a try at a time, after a rest; who is stuck, none."""
@@ -391,8 +391,7 @@
         self.line.pump()
 
     def draw(self):
-        """This gateway's part of the fleet: a stretch of the ring of servers, short enough to know each well.
-        It begins by the gateway's number, so all parts cover the ring evenly; what is sick is made up for."""
+        """This gateway's part: a short stretch of the ring from its number on; the sick are made up for."""
         now, count, sound = self.port.now, len(self.servers), 0
         size = max(PART, self.sends.read(now) / MEMORY * SEEN)
         start, self.part, self.drawn_at = floor(self.start * count), [], now
@@ -541,9 +540,10 @@
         account.active = self.port.now
         self.accounts.pop(account, None)
         self.accounts[account] = None
-        oldest = next(iter(self.accounts))
-        if oldest.active < self.port.now - FORGET and not oldest.lent and not oldest.out:
-            del self.accounts[oldest]
+        kept = FORGET if len(self.accounts) <= LENDERS else IDLE * self.upstreams.horizon  # crowds come once
+        for one in list(islice(self.accounts, LOOKS)):
+            if self.port.now - one.active > max(kept, one.refills) and not one.lent and not one.out:
+                one.customer.account = self.accounts.pop(one)  # None: its stores are full by now
 
     def arrived(self, call):
         now, customer = self.port.now, call.customer
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -358,3 +358,58 @@
     for start in (0.0, 0.5, 1.0, 1.5):
         assert sum(start <= at < start + 1.0 for at in sent) <= 2.0 * 0.4 * 60 * 50 / 11
     assert sent and sum(at < 0.2 for at in sent) <= 20, "all at the same moment"
+
+
+def test_crowds_that_come_once_leave_no_records_behind_and_a_return_changes_no_ceiling():
+    plans = [Plan("hard", 4.0, 8.0), Plan("ceiled", 50.0, 100.0, ceiling_rate=8.0, ceiling_burst=16.0)]
+    world, most, sizes = World(servers=9, plans=plans), [], []
+    usual = world.customer(1, 1)
+    for n in range(3000):
+        world.call(world.customer(10 + n))
+        if n % 3 == 0:
+            world.call(usual)
+        world.run(0.02)
+        for one in list(world.out):
+            world.end(one, Outcome.OK)
+        sizes.append(len(world.gateway.accounts))
+        units = sum(one.call.units for one in world.sent if one.call.customer is usual)
+        assert units <= 8.0 + 4.0 * (world.now - 100.0) + 1e-6
+    assert max(sizes) < 450 and sizes[-1] <= sizes[1500] + 20  # two horizons and the stores' refill, then it ends
+    assert len(world.alarms) < 2000
+    most = world.customer(9999)
+    assert world.gateway.accounts.keys() >= {usual.account} and most.account is None
+
+
+def test_a_refused_call_leaves_nothing_to_wait_for():
+    world = World(servers=8)
+    payer = world.customer()
+    for _ in range(9):
+        world.call(payer)
+        world.run(0.01)
+    before = len(world.alarms)
+    refused = [world.call(payer) for _ in range(20)]
+    assert all(world.answers[call][0] == "rate-limited" for call in refused) and len(world.alarms) == before
+
+
+def test_a_customer_first_met_long_after_the_launch_has_its_own_share_though_the_counter_is_not_heard():
+    world = World(servers=8, counter="silent")
+    first = world.call(world.customer(1))
+    world.run(0.2)
+    assert world.answers[first][0] == "rate-limited"  # a restart may have forgotten what was spent
+    world.run(5.0)
+    met = world.customer(2)
+    later = [world.call(met) for _ in range(8)]
+    world.run(0.2)
+    assert sum(bool(call.tries) for call in later) == 4  # the half of the burst that is this gateway's
+
+
+def test_a_broken_connection_to_the_counter_is_no_crowd_and_a_late_answer_is():
+    world = World(servers=8)
+    quota, payer = world.gateway.quota, world.customer()
+    for outcome, took, slower in ((Outcome.UNCONNECTED, 0.0, False), (Outcome.TIMEOUT, 0.01, False), (Outcome.FULL, 0.001, True),
+                                  (Outcome.OK, 0.04, True), (Outcome.TIMEOUT, 0.05, True), (Outcome.OK, 0.001, False)):
+        world.count = lambda name, amount, lives, told: told(outcome, 1.0, took)
+        world.run(1.0)
+        before = quota.pace.rate
+        world.call(payer)
+        assert (quota.pace.rate < before) is slower
