--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -14,6 +14,7 @@
 SWEEP = 0.02  # s between looks at a line that waits: a small part of any latency target
 BATCH = 0.15  # s, about, that units wait to be added in the background: far inside any window
 FRESH = 0.5  # s that a told total is word to go by: the room left may since have gone through another gateway
+UNHEARD = 1.5  # times its Nth that a gateway lets in without word: most customers are far from their quotas
 LIVES = 3.0  # windows that a count is kept: the last one's end is still read in the next
 FORGET, LOOKS = 180.0, 8  # s without an ask until a record goes: "some minutes"; those looked at an ask
 LENDERS = 200  # idle customers that a loan looks at, the longest idle: work must not grow with their number
@@ -23,8 +24,7 @@
 QUICKER, SLOWER = 0.02, 0.8  # share of those wanted won by a quick answer; kept after a late one, once a wait
 AT_ONCE = 4.0  # counter calls at one stroke at least: a few customers' calls that come together
 LATE = 0.4  # share of the counter's wait from which an answer counts as late: its line grows
-OUTCOMES = 8  # last outcomes of a server that judge it: few, so a failing one is noticed in a second or two
-FAILING = 0.5  # share of successes among them under which a server rests and then gets one try at a time
+OUTCOMES, FAILING = 8, 0.5  # last outcomes, few, that judge a server; share of successes under which it rests
 REST = 4.0  # s of rest after a failure for one that only fails, less for one that fails less
 PLACES = 6.0  # places at a server, for all gateways that use it together: a few cores' worth
 WINDOW = 2.0  # tries out for each server at least, by all gateways: a core or two are not jammed by them
@@ -96,8 +96,9 @@
         # Where an Nth is less than one API call, one may pass unasked if the counter can't be asked.
         self.credit = self.most_credit = largest if plan.burst * part < largest else 0.0
         # A launch may be a restart: what an earlier life spent is unknown, so the own shares are empty then.
-        depth, since = max(plan.burst * part, largest), now if self.credit else launched
-        self.share = Store(plan.rate * part, depth, 0.0, since)
+        since, self.part = (now, part) if self.credit else (launched, min(1.0, UNHEARD * part))
+        self.share = Store(plan.rate * part, max(plan.burst * part, largest), 0.0, since)
+        self.alone = Store(plan.rate * self.part, max(plan.burst * self.part, largest), 0.0, since)
         self.ceiling = Store(plan.ceiling_rate * part, plan.ceiling_burst * part, 0.0, launched)
         self.window, self.total, self.unsaid, self.told_at, self.hold = None, 0.0, 0.0, -FORGET, 0.0
         self.lent, self.out = 0.0, 0
@@ -163,10 +164,10 @@
         account, plan, now = rq.account, rq.account.plan, self.port.now
         fits = account.store.read(now) >= 0
         if outcome is not Outcome.OK:
-            share = account.share  # no word: this gateway's share alone, or its credit
-            if fits and share.read(now) < 0 and account.credit >= rq.counted and not rq.call.repeated:
-                share.level, account.credit = share.level + rq.counted, 0.0
-            fits = fits and share.level >= 0
+            alone = account.alone  # no word: what this gateway may let in alone, or its credit
+            if fits and alone.read(now) < 0 and account.credit >= rq.counted and not rq.call.repeated:
+                alone.level, account.credit = alone.level + rq.counted, 0.0
+            fits = fits and alone.level >= 0
         elif not fits:
             # Until the own share of the rate has saved up half a call, all others will have used what comes.
             wait = min(HOLD, rq.call.units * account.gateways / plan.rate / 2)
@@ -180,11 +181,10 @@
         rq.beyond, rq.wait = True, max(wait, rq.account.hold - self.port.now)
         self.next.take(rq)
 
-    def spend(self, rq, units, say=True):
-        """Book units, below 0 to give them back, and have them added unless that is under way."""
+    def spend(self, rq, units, say=True):  # book units, below 0: give them back; say: have them added later
         account, rq.counted = rq.account, rq.counted + units
-        account.store.level -= units
-        account.share.level -= units
+        for one in (account.store, account.share, account.alone):
+            one.level = one.read(self.port.now) - units
         self.owe(account, units if say else 0.0)
 
     def owe(self, account, units):  # to be added in the background
@@ -197,8 +197,7 @@
             again = lambda: self.flush(account)
             self.say(account, 0.0) if self.may_ask(0.5) else self.port.later(BATCH, again)
 
-    def turn(self, account):
-        """Move to the current window (customers out of step), reading what others still added to the last."""
+    def turn(self, account):  # to the current window (customers out of step), reading how the last one ended
         now, window = self.port.now, account.plan.burst / account.plan.rate
         at = now / window + account.customer.id * GOLDEN % 1.0
         if floor(at) != account.window:
@@ -243,6 +242,7 @@
         # Debts are kept up to half a burst: refused asks count until given back, which must not make room.
         store.level = max(min(-self.largest, -store.depth / 2), store.read(now) - others)
         share.level, share.at, account.told_at = store.level / account.gateways, now, now
+        account.alone.level, account.alone.at = store.level * account.part, now
         account.credit = account.most_credit if 2 * store.level > store.depth else 0.0
 
     def ended(self, rq, answer):
