Values larger than a ring: gathered as they come, poured in parts, bounded by the memory

With the sizes printed: values of 128 to 398 KB, where the protocol's page has 64 KiB at most (resp.Reader.begin refused them, and Client.pour could never have put one into its ring). Ruled out: noise (the lengths fit what follows), clients' bodies (none oversized).

A value may be a 64th of the memory, all that are on their way a fifth; a ring stays what it was. Answers go out in parts; a slow reader is cut for what waits behind its first answer, and new calls are refused early while much is held. A flush that finds nothing tells so: a drain between a full ring and the mark that it was full was missed before.

--- a/brookhub/program/run.py
+++ b/brookhub/program/run.py
@@ -23,7 +23,8 @@
 SPARE = 24  # descriptors kept for the log, the listener, discovery and what is being closed
 COUNTER_LINKS = 2  # enough to have one while the other is dialled anew
 SERVER_PART = 0.25  # of the descriptors, for connections to servers: they are few for each, clients are many
-CLIENT_HELD, ALL_HELD = 0.005, 0.2  # of the memory, for answers not read by one client, by all
+CLIENT_HELD, ALL_HELD = 0.005, 0.2  # of the memory, for answers not read by one client, by all; also bodies, values
+LARGEST = 1 / 64  # of the memory, for one value of a server
 STALLED = 20.0  # s that a client may leave its answers unread
 MUTE, IDLE = 2.0, 4.0  # s until a client's connection is closed on which nothing whole came, or nothing since
 LINGER = 1.0  # s for a client to hear that its connection ends
@@ -51,7 +52,7 @@
         servers_most = max(8, int(start.sockets * SERVER_PART))
         clients_most = max(8, start.sockets - servers_most - COUNTER_LINKS - SPARE)
         port.servers = Servers(port, ends, start.connect_within, start.server_idle_for * IDLE_PART, SETTLE,
-                               servers_most)
+                               servers_most, int(start.memory * LARGEST), int(start.memory * ALL_HELD))
         self.start = start
         port.discovery = self.discovery = Discovery(
             port, lambda address: Dialling("discovery", address, DISCOVERY_CONNECT, PAUSES, ends, self.fault),
--- a/brookhub/protocol/resp.py
+++ b/brookhub/protocol/resp.py
@@ -30,9 +30,10 @@
 class Reader:
     """Takes whole values from a ring buffer as they come; what is not whole stays there."""
 
-    def __init__(self):
+    def __init__(self, largest: int = LARGEST):
+        self.largest = largest  # bytes of a value; one that does not fit the ring is gathered here as it comes
         self.words, self.missing = None, 0  # the array under way, and how many of its words have yet to come
-        self.size = None  # of the bulk string under way
+        self.size, self.gathered = None, bytearray()  # of the bulk string under way
 
     def feed(self, ring) -> Iterator:
         """Each value that is whole: bytes, None, int, Status, Failure or a list of them."""
@@ -44,12 +45,9 @@
                 yield words
         while True:
             if self.size is not None:
-                if len(ring) < self.size + 2:
+                value = self.bulk(ring)
+                if value is None:
                     return
-                value = ring.take(self.size)
-                if ring.take(2) != b"\r\n":
-                    raise Malformed("a bulk string does not end where it said")
-                self.size = None
             else:
                 line = ring.line()
                 if line is None:
@@ -91,9 +89,25 @@
                 whole, self.words = self.words, None
                 yield whole
 
+    def bulk(self, ring) -> bytes | None:
+        """The bulk string under way once it is whole."""
+        if self.size > LARGEST and len(self.gathered) < self.size:
+            self.gathered += ring.take(min(len(ring), self.size - len(self.gathered)))
+        if len(ring) < self.wants():
+            return None
+        value = ring.take(self.size) if self.size <= LARGEST else bytes(self.gathered)
+        if ring.take(2) != b"\r\n":
+            raise Malformed("a bulk string does not end where it said")
+        self.size, self.gathered = None, bytearray()
+        return value
+
+    def wants(self) -> int:
+        """How many bytes the bulk string under way has yet to get from the ring, with its end; else 0."""
+        return 0 if self.size is None else self.size - len(self.gathered) + 2
+
     def begin(self, size: int) -> None:
         self.taken = size + (self.taken if self.words is not None else 0)
-        if size > LARGEST or self.taken > ROOM - ALONGSIDE // 2:
+        if size > self.largest or self.taken > self.largest + ALONGSIDE // 2:
             raise Malformed("a value too large", "oversized")
         self.size = size
 
--- a/brookhub/routing/clients.py
+++ b/brookhub/routing/clients.py
@@ -127,13 +127,15 @@
         """Move what is answered, in order, to where it is written from."""
         self.waits = False
         while self.slots and self.slots[0].said is not None and not self.gone:
-            if not self.stream.put(self.slots[0].said):
-                self.waits = True
+            slot = self.slots[0]
+            put = self.stream.put_part(slot.said)
+            self.clients.held -= put
+            if put < len(slot.said):  # the rest once that is written
+                slot.said, self.waits = memoryview(slot.said)[put:], True
                 if self.clients.holds_too_much(self):
                     self.clients.port.todo.append((self.stream.end, "slow-reader"))
                 break
-            slot = self.slots.popleft()
-            self.clients.held -= len(slot.said)
+            self.slots.popleft()
             slot.said = b""  # timers may know the call for as long as its client would have waited
             self.served += 1
         self.clients.port.todo.append((self.stream.flush,))
@@ -144,9 +146,13 @@
         self.gone = True
         self.clients.forget(self)
         self.clients.give_up(self)
-        self.clients.held -= sum(len(slot.said) for slot in self.slots if slot.said)
+        self.clients.held -= self.unread()
         self.slots.clear()
 
+    def unread(self) -> int:
+        """Bytes of answers that wait until the client has read those before."""
+        return sum(len(slot.said) for slot in self.slots if slot.said)
+
     # after the lock
 
     def drained(self) -> None:
@@ -232,7 +238,7 @@
         route, plan = self.routes[wording.route], self.plans[wording.plan]
         if wording.ident in self.ids:
             return slot.answer(resp.error("ERR the id is that of another open call"))
-        if self.open_calls >= self.most_calls or self.asked + wording.size > self.most_held:
+        if self.open_calls >= self.most_calls or self.asked + self.held + wording.size > self.most_held:
             return slot.answer(calls.rate_limited(0.0))
         customer = self.customers.find(wording.customer, plan)
         call = WordedCall(wording.ident, customer, route, self.port.now + min(wording.patience, route.client_timeout),
@@ -253,8 +259,7 @@
 
     def holds_too_much(self, client: Client) -> bool:
         """Whether the answers that a client leaves unread take memory that others need."""
-        return self.held > self.most_held or self.client_held < sum(
-            len(slot.said) for slot in client.slots if slot.said)
+        return self.held > 2 * self.most_held or client.unread() - len(client.slots[0].said) > self.client_held
 
     def settled(self, client: Client) -> None:
         if client.gone or client.parting:
--- a/brookhub/routing/servers.py
+++ b/brookhub/routing/servers.py
@@ -27,7 +27,7 @@
     def __init__(self, servers: Servers, pool: Pool, server: Server, one: UpstreamTry):
         self.servers, self.pool, self.server, self.one = servers, pool, server, one
         self.stream, self.ended, self.idle_at, self.until, self.served = None, None, 0.0, 0.0, 0
-        self.reader = resp.Reader()
+        self.reader, self.gathered = resp.Reader(servers.largest), 0
 
     def run(self) -> None:
         servers, port = self.servers, self.servers.port
@@ -62,9 +62,11 @@
     """All connections to servers. Its methods but for `Link.run` are called under the port's lock."""
 
     def __init__(self, port, log_end: Callable, connect_within: float, idle_for: float, settles_for: float,
-                 most_links: int):
+                 most_links: int, largest: int, most_gathered: int):
         self.port, self.log_end, self.connect_within = port, log_end, connect_within
         self.idle_for, self.settles_for, self.most_links = idle_for, settles_for, most_links
+        self.largest, self.most_gathered = largest, most_gathered  # bytes of a value, of all that are on their way
+        self.gathered = 0
         self.pools: dict[int, Pool] = {}
         self.out: dict[UpstreamTry, Link] = {}
         self.living = 0  # connections whose descriptor is not yet given back
@@ -146,18 +148,25 @@
         """Take what has come: the answer to the try that waits, or nothing that can be used."""
         stream, one = link.stream, link.one
         try:
-            if link.ended or not stream.read_at_once():
+            if link.ended or not stream.read_at_once(link.reader.wants()):
                 return
             for said in link.reader.feed(stream.inbound) if one else ():
+                self.gather(link, 0)
                 return self.answered(link, ServerAnswer(said))
             if not one:
-                self.drop(link, "nonsense")
+                return self.drop(link, "nonsense")
+            self.gather(link, len(link.reader.gathered))
+            if self.gathered > self.most_gathered:
+                raise resp.Malformed("more than there is memory for", "oversized")
         except resp.Malformed as bad:
             self.drop(link, "oversized" if bad.reason == "oversized" else "nonsense")
             self.port.end_try(one, Outcome.ERROR)
         except OSError:
             pass  # where it broke, its thread sees the end
 
+    def gather(self, link: Link, held: int) -> None:
+        self.gathered, link.gathered = self.gathered + held - link.gathered, held
+
     def answered(self, link: Link, answer: ServerAnswer) -> None:
         one, port = link.one, self.port
         if not answer.sound or len(link.stream.inbound) or not link.stream.may_be_whole():
@@ -182,6 +191,7 @@
     def drop(self, link: Link, reason: str) -> None:
         """Forget a connection, and have it closed."""
         link.ended = link.ended or reason
+        self.gather(link, 0)
         self.idle.pop(link, None)
         link.pool.idle.pop(link, None)
         if link.one:
--- a/brookhub/transport/stream.py
+++ b/brookhub/transport/stream.py
@@ -26,9 +26,9 @@
         self.flushing, self.reason, self.last = False, None, None
         self.told = self.tried = self.written = 0  # bytes put, perhaps written, surely written
 
-    def read(self, flags: int = 0) -> bool:
+    def read(self, flags: int = 0, wanted: int = 0) -> bool:
         """Wait for bytes, into `inbound`; False at the end. Raises OSError where the connection broke."""
-        with self.inbound.space() as space:
+        with self.inbound.space(wanted) as space:
             length = self.sock.recv_into(space, 0, flags)
         self.inbound.filled(length)
         return length > 0
@@ -37,9 +37,9 @@
         """Wait until there are bytes to read, and leave them where they are; False at the end."""
         return len(self.sock.recv(1, socket.MSG_PEEK)) > 0
 
-    def read_at_once(self) -> bool:
-        """Read what has come; raises BlockingIOError where that is nothing."""
-        return self.read(socket.MSG_DONTWAIT)
+    def read_at_once(self, wanted: int) -> bool:
+        """Read what has come, of so many bytes; raises BlockingIOError where that is nothing."""
+        return self.read(socket.MSG_DONTWAIT, wanted)
 
     def quiet(self) -> bool:
         """Whether nothing has come that is not yet taken, not even an end. Only for one read by `read_at_once`."""
@@ -59,14 +59,22 @@
             self.told += len(data)
             return True
 
+    def put_part(self, data) -> int:
+        """Have as much of it written as fits, after all before it; how many bytes that is."""
+        with self.lock:
+            length = min(len(data), self.outbound.limit - self.outbound.size)
+            self.outbound.put(data if length == len(data) else data[:length])
+            self.told += length
+            return length
+
     def may_be_whole(self) -> bool:
         """Whether the last byte put may have been written; False is certain."""
         return self.tried >= self.told
 
     def flush(self) -> None:
         with self.lock:
-            if self.flushing or not self.outbound.size:
-                return
+            if self.flushing:
+                return  # who is at it goes on with what is new, and tells when all is drained
             self.flushing = True
         self._write(socket.MSG_DONTWAIT)
 
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -96,6 +96,20 @@
     assert bad.value.reason == "oversized"
 
 
+def test_a_value_larger_than_the_ring_is_gathered_as_it_comes_up_to_its_bound():
+    value, data = [random.Random(1).randbytes(300_000), b"cost=1", None], word
+    for piece in (2000, 65536):
+        reader, ring, got, sent = resp.Reader(300_000), Ring(resp.ROOM), [], data(value)
+        for at in range(0, len(sent), piece):
+            got += feed(reader, ring, [sent[at:at + piece]])
+            assert len(ring) < resp.ALONGSIDE
+        assert got == [value] and reader.wants() == 0 and not reader.gathered
+    with pytest.raises(resp.Malformed):
+        feed(resp.Reader(300_000), Ring(resp.ROOM), [b"*3\r\n$300001\r\n"])
+    with pytest.raises(resp.Malformed):
+        feed(resp.Reader(300_000), Ring(resp.ROOM), [b"*3\r\n$250000\r\n", *[b"x" * 50_000] * 5, b"\r\n$60000\r\n"])
+
+
 @pytest.mark.parametrize("data", [b"GET / HTTP/1.1\r\n", b"*1\r\n*1\r\n$1\r\na\r\n", b"$x\r\n", b"$-2\r\n", b"*-7\r\n", b"$1\r\nabc",
                                   b"*99\r\n", b":1e3\r\n", b"$" + b"1" * 2000, b"$99999999999999999999\r\n", b"\r\n", b"\0\xff\r\n"])
 def test_bytes_that_are_no_resp_are_told_apart(data):
