--- a/brookhub/routing/clients.py
+++ b/brookhub/routing/clients.py
@@ -47,7 +47,7 @@
         self.clients = clients
         self.stream = Stream(sock, resp.ROOM, self.drained)
         self.slots: deque[Slot] = deque()
-        self.served, self.idle_at = 0, 0.0
+        self.served, self.poured, self.idle_at = 0, 0, 0.0  # poured: bytes of the first answer that waits
         self.waits = self.gone = self.parting = False  # parting: its end is under way, nothing more is taken
 
     # its thread
@@ -128,14 +128,15 @@
         self.waits = False
         while self.slots and self.slots[0].said is not None and not self.gone:
             slot = self.slots[0]
-            put = self.stream.put_part(slot.said)
-            self.clients.held -= put
-            if put < len(slot.said):  # the rest once that is written
-                slot.said, self.waits = memoryview(slot.said)[put:], True
+            self.poured += self.stream.put_part(memoryview(slot.said)[self.poured:] if self.poured else slot.said)
+            if self.poured < len(slot.said):  # the rest once that is written
+                self.waits = True
                 if self.clients.holds_too_much(self):
                     self.clients.port.todo.append((self.stream.end, "slow-reader"))
                 break
             self.slots.popleft()
+            self.poured = 0
+            self.clients.held -= len(slot.said)
             slot.said = b""  # timers may know the call for as long as its client would have waited
             self.served += 1
         self.clients.port.todo.append((self.stream.flush,))
@@ -259,7 +260,7 @@
 
     def holds_too_much(self, client: Client) -> bool:
         """Whether the answers that a client leaves unread take memory that others need."""
-        return self.held > 2 * self.most_held or client.unread() - len(client.slots[0].said) > self.client_held
+        return self.held > 1.5 * self.most_held or client.unread() - len(client.slots[0].said) > self.client_held
 
     def settled(self, client: Client) -> None:
         if client.gone or client.parting:
--- a/brookhub/routing/servers.py
+++ b/brookhub/routing/servers.py
@@ -46,7 +46,10 @@
             port.run(at, servers.heard, self)  # read there, so that none but the lock's holder takes bytes
             return self.ended is not None
 
-        self.stream.end(read_to_end(self.stream.wait, took, port.faults))  # first: what is not written never will be
+        def wait() -> bool:
+            return self.stream.wait(self.reader.wants())
+
+        self.stream.end(read_to_end(wait, took, port.faults))  # first: what is not written never will be
         port.run(monotonic(), servers.broke, self)
         self.stream.close()
         port.run(monotonic(), servers.closed)
--- a/brookhub/transport/stream.py
+++ b/brookhub/transport/stream.py
@@ -10,6 +10,10 @@
 from .threads import spawn
 
 
+NOWHERE = bytearray(16 * 1024)  # bytes waited for at a time, at most: well within what the system holds of one
+# connection. Nothing is written there: they are counted, not taken
+
+
 class Stream:
     """A connected socket with a ring buffer a direction.
 
@@ -33,9 +37,11 @@
         self.inbound.filled(length)
         return length > 0
 
-    def wait(self) -> bool:
-        """Wait until there are bytes to read, and leave them where they are; False at the end."""
-        return len(self.sock.recv(1, socket.MSG_PEEK)) > 0
+    def wait(self, wanted: int = 1) -> bool:
+        """Wait until so many bytes are there to read, or a fair part of many, and leave them where they are; False at
+        the end."""
+        wanted = max(1, min(wanted, len(NOWHERE)))
+        return self.sock.recv_into(NOWHERE, wanted, socket.MSG_PEEK | socket.MSG_TRUNC | socket.MSG_WAITALL) > 0
 
     def read_at_once(self, wanted: int) -> bool:
         """Read what has come, of so many bytes; raises BlockingIOError where that is nothing."""
@@ -79,15 +85,22 @@
         self._write(socket.MSG_DONTWAIT)
 
     def _write(self, flags: int) -> None:
+        told = self.drained is None  # whether who fills the ring knows that it is empty
         while True:
             with self.lock:
-                if self.reason or not self.outbound.size:
+                if self.reason or told and not self.outbound.size:
                     self.flushing = False
                     if self.last and not self.reason:
                         self._shut(socket.SHUT_WR)
-                    break
-                chunk = self.outbound.chunk()
-                self.tried = self.written + len(chunk)
+                    return
+                if self.outbound.size:
+                    chunk, told = self.outbound.chunk(), self.drained is None
+                    self.tried = self.written + len(chunk)
+                else:
+                    chunk, told = None, True
+            if chunk is None:  # more may come of it, which is written here, too
+                self.drained()
+                continue
             try:
                 with chunk:
                     length = self.sock.send(chunk, flags)
@@ -104,8 +117,6 @@
             with self.lock:
                 self.outbound.drop(length)
                 self.written = self.tried = self.written + length
-        if self.drained:
-            self.drained()
 
     def end(self, reason: str) -> None:
         """Break the connection; nothing more is written. The first reason given is kept."""
