Restarts in a storm: take who waits to be accepted, answer earlier; threads start without a wait

A connection costs about 1 ms, of which threading.Thread's wait for the new thread and a second turn at the lock at its end are now gone.

--- a/brookhub/program/run.py
+++ b/brookhub/program/run.py
@@ -34,12 +34,10 @@
 DISCOVERY_CONNECT, DISCOVERY_SILENT = 1.0, 4.5  # s to come up; s without a line: two are due every 4 s
 PAUSES = (0.05, 1.0)  # s between two dials, doubled while they bring nothing
 GRAIN = 0.001  # s between looks at the timers: each costs a thread's wake; no timer is that exact
-TURN = 0.1  # s that a thread may work before others who wait can have it stopped: none works that long, and to be
-# stopped under the lock makes all others wait for two things
 GARBAGE = 5000  # objects made between two looks for garbage in cycles: that of about a hundred API calls
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
-ACCEPTS_ON = 0.45  # s after SIGTERM while new connections still come: 0.4 s, and some way
-LONGEST, AFTER = 3.0, 0.4  # s after SIGTERM by which all is answered: the longest client timeout, this at the
+ACCEPTS_ON = 0.45  # s after SIGTERM while new connections still come: 0.4 s, and some way; what waits then is taken
+LONGEST, AFTER = 3.0, 0.2  # s after SIGTERM by which all is answered: the longest client timeout, this at the
 # most, and some more; SIGKILL may come 0.7 s after that
 
 
@@ -86,7 +84,6 @@
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then answer what was taken; SIGHUP has the start file read again."""
         small_stacks()
-        sys.setswitchinterval(TURN)
         gc.freeze()  # what stands now stands to the end
         gc.set_threshold(GARBAGE)
         port = self.port
@@ -121,7 +118,7 @@
         self.log.info("stopping")
         answers_by = told_at + min(LONGEST, self.longest) + AFTER
         sleep(ACCEPTS_ON)
-        self.listener.close()
+        self.listener.close(LINGER / 4)
         self.port.run(monotonic(), self.clients.close)
         while self.clients.all and monotonic() < answers_by:
             sleep(0.02)
--- a/brookhub/routing/clients.py
+++ b/brookhub/routing/clients.py
@@ -70,11 +70,10 @@
             return bad is not None  # what follows bytes that can't be read is not waited for
 
         reason = read_to_end(stream.read, took, port.faults)
-        port.run(monotonic(), self.left)
         stream.end(stream.last or ("left" if reason == "closed" else reason))
         stream.close()
+        port.run(monotonic(), self.left)
         stream.drained = None  # or the two would hold each other until somebody looks for garbage
-        port.run(monotonic(), self.clients.closed)
         self.clients.log_end("client", stream.reason, None, monotonic() - began, self.served)
 
     def understand(self, words) -> calls.Wording | bytes:
@@ -144,6 +143,7 @@
 
     def left(self) -> None:
         self.gone = True
+        self.clients.living -= 1
         self.clients.forget(self)
         self.clients.give_up(self)
         self.clients.held -= self.unread()
@@ -229,9 +229,8 @@
 
     def start(self, client: Client) -> None:
         if not spawn("client", client.run):
-            self.port.run(monotonic(), client.left)
             client.stream.close()
-            self.port.run(monotonic(), self.closed)
+            self.port.run(monotonic(), client.left)
             self.log_end("client", "no-thread", None, 0.0, 0)
 
     def call(self, slot: Slot, wording: calls.Wording) -> None:
@@ -289,9 +288,6 @@
         self.idle.clear()
         self.mute.clear()
 
-    def closed(self) -> None:
-        self.living -= 1
-
     def give_up(self, client: Client) -> None:
         """Have the decisions end what is open on a connection, as of a client that left."""
         for slot in list(client.slots):
--- a/brookhub/transport/sockets.py
+++ b/brookhub/transport/sockets.py
@@ -4,6 +4,7 @@
 
 import socket
 import struct
+from threading import Event
 from time import sleep
 from typing import Callable
 
@@ -46,7 +47,7 @@
 
     def __init__(self, address: tuple[str, int]):
         self.sock = make(address)  # what it accepts takes after it
-        self.closed = False
+        self.closed, self.ended = False, Event()
         try:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             self.sock.bind(address)
@@ -56,19 +57,26 @@
             raise
 
     def run(self, accepted: Callable[[socket.socket], None]) -> None:
-        while not self.closed:
+        while True:
             try:
                 sock, _ = self.sock.accept()
+            except BlockingIOError:
+                if self.closed:  # and nobody waits any more
+                    break
+                continue
             except OSError:
-                if not self.closed:  # no descriptor left, or a peer that was gone before its turn
-                    sleep(FULL_PAUSE)
+                sleep(FULL_PAUSE)  # no descriptor left, or a peer that was gone before its turn
                 continue
             accepted(sock)
         self.sock.close()
+        self.ended.set()
 
-    def close(self) -> None:
+    def close(self, within: float) -> None:
+        """Accept who waits already, and nobody after that."""
         self.closed = True
+        self.sock.setblocking(False)
         try:
-            self.sock.shutdown(socket.SHUT_RDWR)  # wakes the accept that waits
+            socket.create_connection(self.sock.getsockname(), within).close()  # wakes the accept that waits
         except OSError:
             pass
+        self.ended.wait(within)
--- a/brookhub/transport/stream.py
+++ b/brookhub/transport/stream.py
@@ -103,7 +103,9 @@
                 else:
                     chunk, told = None, True
             if chunk is None:  # more may come of it, which is written here, too
-                self.drained()
+                drained = self.drained  # which ends with its owner
+                if drained:
+                    drained()
                 continue
             try:
                 with chunk:
--- a/brookhub/transport/threads.py
+++ b/brookhub/transport/threads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import _thread
 import threading
 from typing import Callable
 
@@ -14,9 +15,10 @@
 
 
 def spawn(name: str, work: Callable[..., None], *args) -> bool:
-    """Start a thread that ends with the program; False where the system has none left to give."""
+    """Start a thread that ends with the program; False where the system has none left to give. It is not waited for
+    until it runs, as `threading.Thread` would: two switches that each connection would pay."""
     try:
-        threading.Thread(target=work, args=args, name=name, daemon=True).start()
+        _thread.start_new_thread(work, args)
     except RuntimeError:
         return False
     return True
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,6 +1,7 @@
 """The port on sockets and its routing, without sockets: streams that only remember, and a clock that the test moves."""
 
 import random
+import socket
 import threading
 import time
 from types import SimpleNamespace
@@ -17,6 +18,7 @@
 from brookhub.routing.port import SocketPort
 from brookhub.routing.servers import Servers
 from brookhub.transport.ring import Ring
+from brookhub.transport.sockets import Listener
 from brookhub.transport.stream import Stream
 
 
@@ -523,6 +525,19 @@
     assert all(now >= due for due, now in heard) and sorted(now for _, now in heard) == [now for _, now in heard]
 
 
+def test_who_waits_to_be_accepted_when_the_listener_closes_is_still_taken():
+    heard, listener = [], Listener(("127.0.0.1", 0))
+    address = listener.sock.getsockname()
+    threading.Thread(target=listener.run, args=(lambda sock: (time.sleep(0.02), heard.append(sock)),), daemon=True).start()
+    waiting = [socket.create_connection(address) for _ in range(10)]
+    listener.close(1.0)
+    assert len(heard) >= 10 and listener.ended.is_set()
+    with pytest.raises(OSError):
+        socket.create_connection(address)
+    for sock in (*heard, *waiting):
+        sock.close()
+
+
 def test_nothing_under_the_lock_writes():
     """A stream's `put` copies and returns, also while its peer takes nothing at all."""
     class Stuck:
