No connection is closed as idle on which a command has come, and none for another once the end is near

In normal times such a client asks again elsewhere; at a restart it can't. Ruled out: the end itself (0.64 to 1.4 s after SIGTERM, no connection cut off), the queue of the listener.

--- a/brookhub/program/run.py
+++ b/brookhub/program/run.py
@@ -117,6 +117,7 @@
     def stop(self, told_at: float) -> None:
         self.log.info("stopping")
         answers_by = told_at + min(LONGEST, self.longest) + AFTER
+        self.port.run(told_at, self.clients.stop)
         sleep(ACCEPTS_ON)
         self.listener.close(LINGER / 4)
         self.port.run(monotonic(), self.clients.close)
--- a/brookhub/routing/clients.py
+++ b/brookhub/routing/clients.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from dataclasses import dataclass
+from itertools import islice
 from time import monotonic
 from typing import Callable
 
@@ -16,6 +17,9 @@
 from .connections import read_to_end
 
 
+LOOKS = 8  # idle connections looked at for one that can be closed, at a time
+
+
 class Slot:
     """The place of one answer among those of its connection."""
 
@@ -178,7 +182,7 @@
         self.all: dict[Client, None] = {}
         self.idle: dict[Client, None] = {}  # those without an open command, the longest idle first
         self.mute: dict[Client, None] = {}  # those that never sent a whole one, the oldest first
-        self.closing = False
+        self.stopping = self.closing = False  # no idle one is closed for another or for its age; each after its answer
         self.ids: set[int] = set()  # of the calls that are open
         self.living = self.open_calls = self.asked = 0  # descriptors not yet given back; API calls, bytes of them
 
@@ -206,9 +210,19 @@
         """Whom to close for another: first who had time and said nothing, so that a flood of such costs the others
         nothing, then who is idle longest."""
         mute = next(iter(self.mute), None)
-        if mute and self.port.now - mute.idle_at > self.mute_for / 8:
+        if mute and (self.stopping or self.port.now - mute.idle_at > self.mute_for / 8):
             return mute
-        return next(iter(self.idle), mute)
+        return mute if self.stopping else self.longest_idle() or mute
+
+    def longest_idle(self) -> Client | None:
+        """Those that have asked again, though their thread has not come to it, are idle no more."""
+        for client in list(islice(self.idle, LOOKS)):
+            if not client.stream.unheard():
+                return client
+            del self.idle[client]
+            self.idle[client] = None
+            client.idle_at = self.port.now
+        return None
 
     def leave(self, client: Client, reason: str) -> None:
         """Close it between two commands. What it now may ask crosses the end: it asks again elsewhere."""
@@ -219,9 +233,12 @@
     def sweep(self) -> None:
         """Close who connected and sent nothing whole, and who has been idle for long."""
         self.port.later(self.mute_for / 8, self.sweep)
-        for held, longest, reason in ((self.mute, self.mute_for, "mute"), (self.idle, self.idle_for, "idle")):
-            while held and self.port.now - next(iter(held)).idle_at > longest:
-                self.leave(next(iter(held)), reason)
+        while self.mute and self.port.now - next(iter(self.mute)).idle_at > self.mute_for:
+            self.leave(next(iter(self.mute)), "mute")
+        while not self.stopping and self.idle and self.port.now - next(iter(self.idle)).idle_at > self.idle_for:
+            client = self.longest_idle()
+            if client and self.port.now - client.idle_at > self.idle_for:
+                self.leave(client, "idle")
 
     def turn_away(self, client: Client) -> None:
         client.stream.close()
@@ -280,13 +297,17 @@
         self.idle.pop(client, None)
         self.mute.pop(client, None)
 
+    def stop(self) -> None:
+        """The end is near: what crosses the close of a connection may find no other way in any more."""
+        self.stopping = True
+
     def close(self) -> None:
         """From now on a connection ends as soon as all that came on it is answered."""
         self.closing = True
-        for client in (*self.idle, *self.mute):
+        for client in [one for one in (*self.idle, *self.mute) if not one.stream.unheard()]:
             self.part(client)
-        self.idle.clear()
-        self.mute.clear()
+            self.idle.pop(client, None)
+            self.mute.pop(client, None)
 
     def give_up(self, client: Client) -> None:
         """Have the decisions end what is open on a connection, as of a client that left."""
--- a/brookhub/transport/stream.py
+++ b/brookhub/transport/stream.py
@@ -61,6 +61,13 @@
             pass
         return False
 
+    def unheard(self) -> bool:
+        """Whether bytes have come that nobody has read yet."""
+        try:
+            return len(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)) > 0
+        except OSError:
+            return False
+
     def put(self, data: bytes) -> bool:
         """Have it written after all before it; False where it does not fit."""
         with self.lock:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -331,6 +331,34 @@
     return Dialling("peer", address, 0.5, (0.05, 1.0), lambda *_: None, lambda met: None)
 
 
+def test_who_has_asked_again_is_not_closed_as_idle_and_nobody_is_once_the_end_is_near(port):
+    clients = Clients(port, lambda *_: None, [], [], 1, 1.0, lambda: True, 3, 9, 9, 9999, 9999, 9.0, 1.0, 2.0, 4.0)
+    clients.start = lambda client: None
+
+    def met(asked):
+        client = ClientConnection(clients, None)
+        client.stream = Remembering()
+        client.stream.unheard = lambda: bool(client.stream.coming)
+        at(port, clients.welcome, client)
+        if asked:
+            at(port, client.take, [resp.PONG], None)
+        return client
+
+    first, second, third = met(True), met(True), met(True)
+    first.stream.coming = b"*4"  # its thread has not come to it yet
+    met(False)
+    assert [one.stream.reason for one in (first, second, third)] == [None, "made-room", None]
+    at(port, clients.stop)
+    late = met(False)
+    assert third.stream.reason is None and late.stream.reason is None  # the one that said nothing made room
+    advance(port, 0.1)
+    at(port, clients.close)
+    assert third.stream.reason == "restart" and first.stream.reason is None
+    first.stream.coming = b""
+    at(port, first.take, [resp.PONG], None)
+    assert first.stream.reason == "restart" and first.stream.said[-1] == resp.PONG
+
+
 def counter_of(port, links=2):
     made = Counter(port, dialling, 0.08, links, 1.0)
     at(port, made.move, ("127.0.0.1", 1))
