--- a/brookhub/routing/clients.py
+++ b/brookhub/routing/clients.py
@@ -209,18 +209,18 @@
     def to_leave(self) -> Client | None:
         """Whom to close for another: first who had time and said nothing, so that a flood of such costs the others
         nothing, then who is idle longest."""
-        mute = next(iter(self.mute), None)
+        mute = self.longest(self.mute)
         if mute and (self.stopping or self.port.now - mute.idle_at > self.mute_for / 8):
             return mute
-        return mute if self.stopping else self.longest_idle() or mute
+        return mute if self.stopping else self.longest(self.idle) or mute
 
-    def longest_idle(self) -> Client | None:
-        """Those that have asked again, though their thread has not come to it, are idle no more."""
-        for client in list(islice(self.idle, LOOKS)):
-            if not client.stream.unheard():
+    def longest(self, held: dict[Client, None]) -> Client | None:
+        """Those that have asked, though their thread has not come to it, begin anew; not so in midst of a command."""
+        for client in list(islice(held, LOOKS)):
+            if len(client.stream.inbound) or not client.stream.unheard():
                 return client
-            del self.idle[client]
-            self.idle[client] = None
+            del held[client]
+            held[client] = None
             client.idle_at = self.port.now
         return None
 
@@ -233,12 +233,12 @@
     def sweep(self) -> None:
         """Close who connected and sent nothing whole, and who has been idle for long."""
         self.port.later(self.mute_for / 8, self.sweep)
-        while self.mute and self.port.now - next(iter(self.mute)).idle_at > self.mute_for:
-            self.leave(next(iter(self.mute)), "mute")
-        while not self.stopping and self.idle and self.port.now - next(iter(self.idle)).idle_at > self.idle_for:
-            client = self.longest_idle()
-            if client and self.port.now - client.idle_at > self.idle_for:
-                self.leave(client, "idle")
+        kinds = [(self.mute, self.mute_for, "mute"), (self.idle, self.idle_for, "idle")]
+        for held, most, reason in kinds[:1] if self.stopping else kinds:
+            while held and self.port.now - next(iter(held)).idle_at > most:
+                client = self.longest(held)
+                if client and self.port.now - client.idle_at > most:
+                    self.leave(client, reason)
 
     def turn_away(self, client: Client) -> None:
         client.stream.close()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -351,7 +351,11 @@
     at(port, clients.stop)
     late = met(False)
     assert third.stream.reason is None and late.stream.reason is None  # the one that said nothing made room
-    advance(port, 0.1)
+    unread = met(False)
+    unread.stream.coming = b"*4"
+    advance(port, 3.0)  # past the time in which something whole is to come
+    at(port, clients.sweep)
+    assert unread.stream.reason is None
     at(port, clients.close)
     assert third.stream.reason == "restart" and first.stream.reason is None
     first.stream.coming = b""
