Emulator: the real decisions in a discrete-event fleet, with checked TOML experiments

A referee checks rules 1 to 4 at each send and answer and folds the trail into a digest. brookhub/config holds the pydantic models of the experiment and start files.

Seen on the first run: one run never advanced. Ceiling.take waited (units - level) / rate, about 1e-17 s when the store was short by a rounding remainder; now + 1e-17 == now, so the retake fired at the same instant forever.

--- /dev/null
+++ b/brookhub/config/models.py
@@ -0,0 +1,160 @@
+"""The shapes of the configuration files, as pydantic models. Times in seconds, rates per second, units as billed.
+
+Every model forbids unknown keys, so a misspelt key is an error rather than a silent default.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+
+class Strict(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class RouteSpec(Strict):
+    """A kind of API call: its latency target and client timeout (s), whether it may run again, its share of load."""
+
+    name: str
+    target_s: float = Field(gt=0)
+    client_timeout_s: float = Field(gt=0)
+    repeat: Literal["idempotent", "tokened", "non_idempotent"] = "idempotent"
+    group: Literal["all", "zone", "cell"] = "all"
+    window_s: float = Field(0.0, ge=0)
+    share: float = Field(1.0, gt=0)
+
+
+class PlanSpec(Strict):
+    """A plan, its customers and their load: quota `rate` units/s with `burst`; ceiling 0: none (soft plan)."""
+
+    name: str
+    rate: float = Field(ge=0)
+    burst: float = Field(ge=0)
+    ceiling_rate: float = Field(0.0, ge=0)
+    ceiling_burst: float = Field(0.0, ge=0)
+    ceiling_slack: float = Field(0.0, ge=0)
+    open_cap: int = Field(0, ge=0)
+    customers: int = Field(1, ge=1)
+    calls_per_s: float = Field(gt=0, description="offered load of each customer of the plan")
+
+
+class ServerSpec(Strict):
+    """The upstream servers: `count` in `zones`, each with `places` answered at once and a mean service time."""
+
+    count: int = Field(20, ge=1)
+    places: int = Field(8, ge=1)
+    queue: int = Field(8, ge=0)
+    service_s: float = Field(0.05, gt=0)
+    cold_from: float = Field(0.3, gt=0, le=1)
+    warm_after_s: float = Field(10.0, ge=0)
+    fall_multiple: float = Field(3.0, gt=1)
+    fall_for_s: float = Field(2.0, ge=0)
+    error_share: float = Field(0.0, ge=0, lt=1)
+
+
+class CounterSpec(Strict):
+    """The shared counter: whether the plans use it, how long an answer takes and may take (s)."""
+
+    on: bool = True
+    delay_s: float = Field(0.002, ge=0)
+    wait_s: float = Field(0.05, gt=0)
+
+
+class FleetSpec(Strict):
+    """The fleet: limiters, zones, servers, counter and the decision module's terms."""
+
+    limiters: int = Field(10, ge=1)
+    zones: int = Field(3, ge=1)
+    servers: ServerSpec = ServerSpec()
+    counter: CounterSpec = CounterSpec()
+    routes: list[RouteSpec] = Field(min_length=1)
+    plans: list[PlanSpec] = Field(min_length=1)
+    max_tries: int = Field(3, ge=1)
+    second_copies: bool = False
+    may_cancel: bool = True
+    longest_retry_after_s: float = Field(2.0, ge=0)
+    grace_s: float = Field(1.0, ge=0, description="after a drain, time in which a send is still allowed")
+    list_delay_s: float = Field(0.2, ge=0, description="how late discovery's word reaches a limiter")
+
+    @model_validator(mode="after")
+    def _listed_under_grace(self) -> "FleetSpec":
+        if self.list_delay_s >= self.grace_s:
+            raise ValueError("list_delay_s must be below grace_s, or rule 3 breaks by construction")
+        return self
+
+
+class LoadSpec(Strict):
+    """Open-loop arrivals: Poisson, or bursty (`burst_factor` times for `burst_for_s` of every `burst_every_s`)."""
+
+    shape: Literal["poisson", "bursty"] = "poisson"
+    scale: float = Field(1.0, gt=0, description="times the plans' calls_per_s")
+    burst_factor: float = Field(3.0, ge=1)
+    burst_every_s: float = Field(30.0, gt=0)
+    burst_for_s: float = Field(5.0, ge=0)
+    give_up_share: float = Field(0.02, ge=0, le=1, description="clients that leave before their timeout")
+    repeat_share: float = Field(0.3, ge=0, le=1, description="clients that ask again after a refusal")
+
+
+class FaultSpec(Strict):
+    """One scripted fault at `at_s`, lasting `for_s` where that applies."""
+
+    at_s: float = Field(ge=0)
+    action: Literal["kill_limiters", "restart_limiters", "drain_servers", "replace_servers", "zone_lost",
+                    "counter_down", "counter_wipe", "counter_split", "lose_answers", "slow_servers",
+                    "failing_servers"]
+    share: float = Field(0.1, ge=0, le=1)
+    zone: int = Field(0, ge=0)
+    for_s: float = Field(5.0, ge=0)
+    factor: float = Field(5.0, ge=1)
+
+
+class Axis(Strict):
+    """One swept parameter: a dotted path into the experiment (e.g. `fleet.limiters`) and its values."""
+
+    parameter: str
+    values: list[Any] = Field(min_length=1)
+
+
+class SweepSpec(Strict):
+    """The grid: one or two axes, each point played once for each seed."""
+
+    axes: list[Axis] = Field(default_factory=list, max_length=2)
+    seeds: list[int] = Field(default_factory=lambda: [1])
+    processes: int = Field(0, ge=0, description="0: one for each core")
+
+
+class Experiment(Strict):
+    """An experiment file: a fleet, a load, a fault script, a duration, and the sweep over it."""
+
+    name: str
+    duration_s: float = Field(60.0, gt=0)
+    seed: int = 1
+    strict: bool = Field(False, description="stop at the first broken rule, with its trail")
+    fleet: FleetSpec
+    load: LoadSpec = LoadSpec()
+    faults: list[FaultSpec] = Field(default_factory=list)
+    sweep: SweepSpec = SweepSpec()
+
+
+class Limits(Strict):
+    sockets: int = Field(1024, ge=16)
+    memory_mb: float = Field(192, gt=0)
+
+
+class GatewayFile(Strict):
+    """The gateway's start file in TOML: the same keys as the JSON start file (README), checked."""
+
+    name: str = "limiter"
+    listen: str
+    discovery: str
+    counter: str | None = None
+    seed: str = "0"
+    limits: Limits = Limits()
+    known: Any = None
+    settings: dict[str, Any]
+
+    def start_json(self) -> dict:
+        """The JSON start file that the program reads (program/startfile.py)."""
+        return self.model_dump(exclude_none=True)
--- /dev/null
+++ b/brookhub/emulator/__init__.py
@@ -0,0 +1,9 @@
+"""A discrete-event model of a whole fleet, in simulated time, round the real decision module.
+
+`Fleet(spec).run()` plays one experiment; see docs/emulator.md for the design and its limits.
+"""
+
+from .fleet import Fleet, Result
+from .rules import RuleBroken
+
+__all__ = ["Fleet", "Result", "RuleBroken"]
--- /dev/null
+++ b/brookhub/emulator/fleet.py
@@ -0,0 +1,334 @@
+"""A whole emulated fleet: limiters running the real decisions, servers, counter, discovery, clients, faults.
+
+`Fleet(experiment).run()` -> Result. The same experiment and seed give the same Result and trail digest.
+Units: seconds (simulated), latencies in the histogram in microseconds.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+from ..config.models import Experiment, FaultSpec
+from ..interface import ApiCall, Group, Plan, Repeat, Route, State
+from .engine import Engine
+from .limiter import Seat
+from .rules import Referee
+from .world import Counter, Discovery, ServerModel, Servers
+
+REPEATS = {"idempotent": Repeat.IDEMPOTENT, "tokened": Repeat.TOKENED, "non_idempotent": Repeat.NON_IDEMPOTENT}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+LATENCY_MAX_US = 60_000_000  # the histogram's top: one minute, beyond any client timeout
+RESTART_AFTER = 1.0  # s a restarted limiter is away: a process start
+CELLS = 4  # cells in each zone: tokened groups of the `cell` kind span a few servers
+
+
+@dataclass
+class Result:
+    """What one run gave: counts of API calls by their final answer, latency (µs) and quota overshoot."""
+
+    calls: int = 0
+    proxied: int = 0
+    rate_limited: int = 0
+    errored: int = 0
+    lost: int = 0
+    left: int = 0
+    tries: int = 0
+    counter_calls: int = 0
+    events: int = 0
+    wall_s: float = 0.0
+    cold_falls: int = 0
+    broken: dict = field(default_factory=dict)
+    first_break: str | None = None
+    digest: str = ""
+    latency: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, LATENCY_MAX_US, 2))
+    quota_overshoot: float = 0.0  # mean over customers with a quota of max(0, units proxied / allowed - 1)
+    worst_overshoot: float = 0.0
+    ceiling_overshoot: float = 0.0  # worst share over a hard ceiling, jointly over the fleet
+
+    def metrics(self) -> dict:
+        answered = max(1, self.calls - self.left)
+        return {
+            "calls": self.calls, "proxied": self.proxied, "rate_limited": self.rate_limited,
+            "errored": self.errored, "lost": self.lost, "left": self.left, "tries": self.tries,
+            "served_share": self.proxied / answered, "rate_limited_share": self.rate_limited / answered,
+            "errored_share": (self.errored + self.lost) / answered,
+            "p50_ms": self.latency.get_value_at_percentile(50) / 1000,
+            "p99_ms": self.latency.get_value_at_percentile(99) / 1000,
+            "quota_overshoot": self.quota_overshoot, "worst_overshoot": self.worst_overshoot,
+            "ceiling_overshoot": self.ceiling_overshoot, "cold_falls": self.cold_falls,
+            "counter_calls": self.counter_calls, "events": self.events, "wall_s": round(self.wall_s, 3),
+            "events_per_s": round(self.events / self.wall_s) if self.wall_s else 0,
+            "broken": dict(self.broken), "first_break": self.first_break, "digest": self.digest,
+        }
+
+
+class Customer:
+    """A client population of one plan; `units` proxied are summed fleet-wide for the overshoot."""
+
+    def __init__(self, ident: int, plan: Plan, calls_per_s: float, ceiling_window: float):
+        self.id, self.plan, self.calls_per_s = ident, plan, calls_per_s
+        self.units = 0.0
+        self.ceiling_level, self.ceiling_at, self.ceiling_over = plan.ceiling_burst, 0.0, 0.0
+        self.window = ceiling_window
+
+    def proxied(self, now: float, units: float) -> None:
+        self.units += units
+        plan = self.plan
+        if plan.ceiling_rate:  # a fleet-wide store of the ceiling: what passes beyond it is overshoot
+            self.ceiling_level = min(plan.ceiling_burst, self.ceiling_level + (now - self.ceiling_at) * plan.ceiling_rate)
+            self.ceiling_at = now
+            self.ceiling_level -= units
+            if self.ceiling_level < 0:
+                self.ceiling_over += -self.ceiling_level
+                self.ceiling_level = 0.0
+
+
+class Fleet:
+    """Builds the model from an Experiment and plays it; `referee` judges the rules at each event."""
+
+    def __init__(self, experiment: Experiment, seed: int | None = None, keep_trail: bool = True):
+        self.experiment = spec = experiment
+        self.seed = experiment.seed if seed is None else seed
+        self.rng = random.Random(self.seed)
+        self.engine = Engine()
+        self.referee = Referee(strict=experiment.strict, keep_trail=keep_trail)
+        fleet = spec.fleet
+        self.second_copies, self.grace = fleet.second_copies, fleet.grace_s
+        self.routes = [Route(one.name, one.target_s, one.client_timeout_s, REPEATS[one.repeat], GROUPS[one.group],
+                             one.window_s) for one in fleet.routes]
+        self.route_weights = [one.share for one in fleet.routes]
+        self.plans = [Plan(one.name, one.rate, one.burst, one.open_cap, one.ceiling_rate, one.ceiling_burst,
+                           one.ceiling_slack) for one in fleet.plans]
+        horizon = max(route.target for route in self.routes)
+        kinds = [(plan, one.calls_per_s * spec.load.scale) for plan, one in zip(self.plans, fleet.plans)
+                 for _ in range(one.customers)]
+        self.customers = [Customer(number, plan, rate, horizon) for number, (plan, rate) in enumerate(kinds)]
+        self.weights = [customer.calls_per_s for customer in self.customers]
+        self.rate = sum(self.weights)
+        servers = fleet.servers
+        self.servers = Servers(self.engine, self.referee, random.Random(self.rng.getrandbits(64)), [
+            ServerModel(index, index % fleet.zones, (index // fleet.zones) % CELLS, servers.places, servers.queue,
+                        servers.service_s, servers.cold_from, servers.warm_after_s, servers.fall_multiple,
+                        servers.fall_for_s, up_since=-servers.warm_after_s - 1.0, error_share=servers.error_share)
+            for index in range(servers.count)])
+        self.next_server = servers.count
+        self.counter = Counter(self.engine, random.Random(self.rng.getrandbits(64)), fleet.counter.delay_s,
+                               fleet.counter.wait_s)
+        self.discovery = Discovery(self.engine, fleet.list_delay_s)
+        self.terms = {
+            "routes": self.routes, "plans": self.plans, "zone": 0, "slot": 0, "gateways": fleet.limiters,
+            "counter_wait": fleet.counter.wait_s if fleet.counter.on else 0.0, "largest": 1.0, "trued_up": False,
+            "max_tries": fleet.max_tries, "second_copies": fleet.second_copies, "may_cancel": fleet.may_cancel,
+            "longest_retry_after": fleet.longest_retry_after_s, "cold_from": servers.cold_from,
+            "warm_after": servers.warm_after_s, "fall_multiple": servers.fall_multiple, "fall_within": 1.0,
+            "asks_for_servers": False, "ask_within": 10.0}
+        self.seats: list[Seat] = []
+        for index in range(fleet.limiters):
+            self.seats.append(self.launch(index))
+        self.discovery.seats = self.seats
+        self.result = Result()
+        self.answered: dict[int, bool] = {}
+        self.started: dict[int, float] = {}
+        self.ident = 0
+
+    # building
+
+    def launch(self, index: int) -> Seat:
+        zones = self.experiment.fleet.zones
+        seat = Seat(self, index, index % zones, self.rng.getrandbits(63), {**self.terms, "zone": index % zones})
+        seat.servers(self.entries(), whole=True)
+        return seat
+
+    def entries(self) -> list[tuple]:
+        return [model.entry() for model in self.servers.models.values() if model.state is not State.GONE]
+
+    # the clients
+
+    def offered(self, now: float) -> float:
+        load = self.experiment.load
+        if load.shape == "bursty" and now % load.burst_every_s < load.burst_for_s:
+            return self.rate * load.burst_factor
+        return self.rate
+
+    def arrival(self) -> None:
+        now = self.engine.now
+        self.engine.after(self.rng.expovariate(self.offered(now)), self.arrival)
+        customer = self.rng.choices(self.customers, self.weights)[0]
+        route = self.rng.choices(self.routes, self.route_weights)[0]
+        self.call(customer, route, repeated=False)
+
+    def call(self, customer: Customer, route: Route, repeated: bool) -> None:
+        now, load = self.engine.now, self.experiment.load
+        living = [seat for seat in self.seats if seat.alive]
+        if not living:
+            self.result.calls += 1
+            self.result.lost += 1
+            return
+        seat = living[self.rng.randrange(len(living))]
+        self.ident += 1
+        payer = seat.customers.find(customer.id, customer.plan)
+        call = ApiCall(self.ident, payer, route, now + route.client_timeout, 1.0, len(living), seat.index, repeated,
+                       route.repeat is not Repeat.IDEMPOTENT)
+        call.who = customer
+        self.result.calls += 1
+        self.started[call.id] = now
+        self.referee.now = now
+        seat.arrive(call)
+        if call.id in self.started and self.rng.random() < load.give_up_share:
+            leave = route.client_timeout * (0.2 + 0.7 * self.rng.random())
+            seat.later(leave, lambda: self.leave(seat, call))
+
+    def leave(self, seat: Seat, call: ApiCall) -> None:
+        if call.id in self.started:
+            self.referee.note("leave", seat.index, call.id)
+            self.started.pop(call.id)
+            self.result.left += 1
+            seat.gateway.client_left(call)
+
+    # final answers
+
+    def answer(self, seat: Seat, call: ApiCall, how: str, retry_after: float = 0.0, one=None) -> None:
+        now = self.engine.now
+        self.referee.now = now
+        self.referee.note("answer", seat.index, call.id, how)
+        self.referee.answering(call, self.answered.get(call.id, False))
+        self.answered[call.id] = True
+        began = self.started.pop(call.id, None)
+        if began is None:
+            return  # the client left before: the answer finds no one
+        result = self.result
+        result.tries += len(call.tries)
+        if how == "proxied":
+            result.proxied += 1
+            result.latency.record_value(max(1, int((now - began) * 1e6)))
+            call.who.proxied(now, call.units)
+        elif how == "rate-limited":
+            result.rate_limited += 1
+            if self.rng.random() < self.experiment.load.repeat_share:
+                self.engine.after(retry_after or 1.0, lambda: self.call(call.who, call.route, repeated=True))
+        else:
+            result.errored += 1
+
+    def lost(self, call: ApiCall) -> None:
+        if self.started.pop(call.id, None) is not None:
+            self.result.lost += 1
+
+    # faults
+
+    def schedule(self, fault: FaultSpec) -> None:
+        self.engine.at(fault.at_s, lambda: self.fault(fault))
+
+    def pick(self, items: list, share: float) -> list:
+        count = min(len(items), max(1, round(share * len(items)))) if share else 0
+        return self.rng.sample(items, count)
+
+    def fault(self, fault: FaultSpec) -> None:
+        engine, action, models = self.engine, fault.action, list(self.servers.models.values())
+        self.referee.now = engine.now
+        self.referee.note("fault", action, fault.share, fault.zone, fault.for_s)
+        if action in ("kill_limiters", "restart_limiters"):
+            for seat in self.pick([seat for seat in self.seats if seat.alive], fault.share):
+                seat.kill()
+                if action == "restart_limiters":
+                    engine.after(RESTART_AFTER, lambda index=seat.index: self.restart(index))
+        elif action in ("drain_servers", "replace_servers"):
+            drained = self.pick([model for model in models if model.state is State.READY], fault.share)
+            for model in drained:
+                model.state, model.drained_at = State.DRAINING, engine.now
+            self.discovery.changed(drained)
+            engine.after(fault.for_s, lambda: self.gone(drained, replace=action == "replace_servers"))
+        elif action == "zone_lost":
+            lost = [model for model in models if model.zone == fault.zone]
+            for model in lost:
+                model.mode = "dead"
+            engine.after(fault.for_s, lambda: self.returned(lost))
+        elif action in ("slow_servers", "failing_servers"):
+            hit = self.pick(models, fault.share)
+            for model in hit:
+                model.mode, model.slow_factor = ("slow" if action == "slow_servers" else "failing"), fault.factor
+            engine.after(fault.for_s, lambda: [setattr(model, "mode", "ok") for model in hit])
+        elif action == "counter_down":
+            self.counter.down = True
+            engine.after(fault.for_s, lambda: setattr(self.counter, "down", False))
+        elif action == "counter_wipe":
+            self.counter.wipe()
+        elif action == "counter_split":
+            self.counter.split(True)
+            engine.after(fault.for_s, lambda: self.counter.split(False))
+        elif action == "lose_answers":
+            self.servers.lost_share = self.counter.lost_share = fault.share
+            engine.after(fault.for_s, lambda: self.unlose())
+
+    def unlose(self) -> None:
+        self.servers.lost_share = self.counter.lost_share = 0.0
+
+    def restart(self, index: int) -> None:
+        seat = self.seats[index] = self.launch(index)
+        self.discovery.seats = self.seats
+        self.referee.note("restarted", seat.index)
+
+    def gone(self, drained: list[ServerModel], replace: bool) -> None:
+        fresh = []
+        for model in drained:
+            model.state = State.GONE
+            if replace:
+                new = ServerModel(self.next_server, model.zone, model.cell, model.places, model.queue, model.service,
+                                  model.cold_from, model.warm_after, model.fall_multiple, model.fall_for,
+                                  up_since=self.engine.now, error_share=model.error_share)
+                self.next_server += 1
+                self.servers.models[new.id] = new
+                fresh.append(new)
+        self.discovery.changed(drained + fresh)
+
+    def returned(self, lost: list[ServerModel]) -> None:
+        for model in lost:
+            model.mode, model.up_since = "ok", self.engine.now  # back, and cold
+        self.discovery.changed(lost)
+
+    # the run
+
+    def run(self) -> Result:
+        """Play the experiment to its end; raises RuleBroken at a break where the experiment is strict."""
+        wall = time.perf_counter()
+        for fault in self.experiment.faults:
+            self.schedule(fault)
+        self.engine.after(self.rng.expovariate(self.rate), self.arrival)
+        end = self.experiment.duration_s
+        step = 1.0
+        at = 0.0
+        while at < end:  # rule 1 is judged each second for the API calls whose time is up
+            at = min(end, at + step)
+            self.engine.run(at)
+            self.overdue(at)
+        self.finish(time.perf_counter() - wall)
+        return self.result
+
+    def overdue(self, now: float) -> None:
+        self.referee.now = now
+        for ident, began in list(self.started.items()):
+            if began + 60.0 < now:  # far past any client timeout: this one was never answered
+                self.referee.breaks(1, f"call {ident} never got a final answer")
+                self.started.pop(ident)
+
+    def finish(self, wall: float) -> None:
+        result, end = self.result, self.experiment.duration_s
+        result.wall_s, result.events = wall, self.engine.events
+        result.counter_calls = self.counter.calls
+        result.cold_falls = sum(model.falls for model in self.servers.models.values())
+        result.broken, result.first_break = dict(self.referee.broken), self.referee.first_break
+        result.digest = self.referee.digest.hexdigest()
+        overs = []
+        for customer in self.customers:
+            plan = customer.plan
+            if plan.rate:
+                allowed = plan.burst + plan.rate * end
+                overs.append(max(0.0, customer.units / allowed - 1.0))
+            if plan.ceiling_rate:
+                allowed = plan.ceiling_burst + plan.ceiling_rate * end
+                result.ceiling_overshoot = max(result.ceiling_overshoot, customer.ceiling_over / allowed)
+        result.quota_overshoot = sum(overs) / len(overs) if overs else 0.0
+        result.worst_overshoot = max(overs, default=0.0)
--- /dev/null
+++ b/brookhub/emulator/limiter.py
@@ -0,0 +1,116 @@
+"""One emulated limiter: the real policy.Gateway behind a Port whose clock is the engine's.
+
+The same port the sockets program and the drill implement (interface.Port); only the world behind it is a model.
+"""
+
+from __future__ import annotations
+
+from typing import Callable
+
+from ..interface import ApiCall, Outcome, Server, Told, UpstreamTry
+from ..policy import Gateway
+from ..roster import Customers, Roster
+
+
+class Seat:
+    """A limiter's place in the fleet. After `kill()` nothing it scheduled runs, and its API calls are lost."""
+
+    def __init__(self, fleet, index: int, zone: int, seed: int, terms: dict):
+        self.fleet, self.engine, self.index, self.zone = fleet, fleet.engine, index, zone
+        self.alive = True
+        self.roster, self.customers = Roster(), Customers()
+        self.calls: dict[int, ApiCall] = {}
+        self.logged = 0
+        self.gateway = Gateway(self, seed, **{**terms, "slot": index})
+
+    @property
+    def now(self) -> float:
+        return self.engine.now
+
+    def kill(self) -> None:
+        self.alive = False
+        for call in self.calls.values():
+            self.fleet.lost(call)
+        self.calls.clear()
+
+    # the port
+
+    def send(self, call: ApiCall, server: Server, timeout: float) -> UpstreamTry:
+        model = self.fleet.servers.models[server.id]
+        self.fleet.referee.note("send", self.index, call.id, server.id, len(call.tries))
+        self.fleet.referee.sending(call, server, self.fleet.second_copies, model.drained_at, self.fleet.grace)
+        one = UpstreamTry(call, server, len(call.tries), self.now)
+        call.tries.append(one)
+        left = call.expires - self.now
+        left = min(timeout, left) if timeout > 0 else left
+        self.fleet.servers.take(one, self)
+        self.later(left, lambda: self.give_up(one, Outcome.TIMEOUT))
+        return one
+
+    def cancel(self, upstream: UpstreamTry) -> None:
+        if upstream.outcome is None:
+            self.fleet.servers.abandon(upstream)
+            self.later(0.0, lambda: self.end_try(upstream, Outcome.CANCELLED))
+
+    def rate_limit(self, call: ApiCall, retry_after: float) -> None:
+        self.fleet.referee.rate_limiting(call)
+        self.fleet.answer(self, call, "rate-limited", retry_after)
+
+    def error(self, call: ApiCall) -> None:
+        self.fleet.answer(self, call, "errored")
+
+    def count(self, name: int, amount: float, lives: float, told: Told) -> None:
+        self.fleet.counter.count(self, name, amount, lives, told)
+
+    def probe(self, server: Server) -> None:
+        """Unused by the decisions today (docs/emulator.md): no probe is modelled."""
+
+    def tell(self, peer: int | None, data: bytes) -> None:
+        """Unused by the decisions today: gateways learn of each other through the counter."""
+
+    def close_idle(self, server: Server) -> None:
+        """Connections are not modelled."""
+
+    def follow_servers(self, on: bool) -> None:
+        """Discovery pushes every change to every living limiter."""
+
+    def fetch_servers(self) -> None:
+        self.later(self.fleet.discovery.delay, lambda: self.servers(self.fleet.entries(), whole=True))
+
+    def later(self, seconds: float, callback: Callable[[], None]) -> None:
+        def fire() -> None:
+            if self.alive:
+                callback()
+        self.engine.after(seconds, fire)
+
+    def log(self, text: str) -> None:
+        self.logged += 1
+
+    # what comes in
+
+    def servers(self, entries: list[tuple], whole: bool) -> None:
+        if self.alive:
+            self.gateway.servers_told(self.roster.update(entries, whole))
+
+    def arrive(self, call: ApiCall) -> None:
+        self.calls[call.id] = call
+        self.fleet.referee.note("arrive", self.index, call.id, call.customer.id, call.route.name)
+        self.gateway.arrived(call)
+
+    def give_up(self, one: UpstreamTry, outcome: Outcome) -> None:
+        if one.outcome is None:
+            self.fleet.servers.abandon(one)
+            self.end_try(one, outcome)
+
+    def end_try(self, one: UpstreamTry, outcome: Outcome) -> None:
+        if one.outcome is not None or not self.alive:
+            return
+        one.outcome = outcome
+        self.fleet.referee.note("end", self.index, one.call.id, one.number, outcome.name)
+        final = one.call.rq is None
+        if outcome is Outcome.OK and not final:
+            self.fleet.answer(self, one.call, "proxied", 0.0, one)
+            final = True
+        self.gateway.try_ended(one, self.now - one.sent, final, 0.0, None, {})
+        if all(other.outcome for other in one.call.tries) and one.call.rq is None:
+            self.calls.pop(one.call.id, None)
--- /dev/null
+++ b/brookhub/emulator/world.py
@@ -0,0 +1,175 @@
+"""What the limiters balance, as models: upstream servers, the shared counter, discovery.
+
+Servers have places (answers at once), a short queue, a service time (s, exponential round a mean), a cold
+start during which fewer places hold, and failure modes. Beyond `fall_multiple` times its places while cold a
+server falls over (rule 4): it resets all it holds and is down for `fall_for` seconds.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from ..interface import Outcome, State
+
+CONNECT = 0.001  # s until a refused or turned-away try is known: one round trip on a local network
+MODES = ("ok", "slow", "failing", "silent", "dead")
+
+
+@dataclass
+class ServerModel:
+    """One upstream server. Times in seconds; `places` answers at once; `queue` more may wait."""
+
+    id: int
+    zone: int
+    cell: int
+    places: int
+    queue: int
+    service: float
+    cold_from: float
+    warm_after: float
+    fall_multiple: float
+    fall_for: float
+    up_since: float = 0.0
+    state: State = State.READY
+    drained_at: float | None = None
+    mode: str = "ok"
+    slow_factor: float = 1.0
+    error_share: float = 0.0
+    down_until: float = 0.0
+    busy: dict = field(default_factory=dict)  # try -> (seat, started at)
+    waiting: deque = field(default_factory=deque)
+    falls: int = 0
+
+    def entry(self) -> tuple:
+        """As discovery tells it: (id, zone, kind, cell, state, weight, up since)."""
+        return (self.id, self.zone, 0, self.cell, self.state, 1.0, self.up_since)
+
+    def capacity(self, now: float) -> float:
+        warm = 1.0 if self.warm_after <= 0 else min(1.0, (now - self.up_since) / self.warm_after)
+        return self.places * (self.cold_from + (1.0 - self.cold_from) * warm)
+
+    def cold(self, now: float) -> bool:
+        return self.warm_after > 0 and now - self.up_since < self.warm_after
+
+
+class Servers:
+    """All upstream servers; takes tries from the limiters' ports and ends them in simulated time."""
+
+    def __init__(self, engine, referee, rng: random.Random, models: list[ServerModel]):
+        self.engine, self.referee, self.rng = engine, referee, rng
+        self.models = {model.id: model for model in models}
+        self.lost_share = 0.0  # of answers lost on the way back, while a fault says so
+
+    def take(self, one, seat) -> None:
+        model, now = self.models[one.server.id], self.engine.now
+        if model.state is State.GONE or model.mode == "dead" or now < model.down_until:
+            self.engine.after(CONNECT, lambda: seat.end_try(one, Outcome.UNCONNECTED))
+        elif len(model.busy) < max(1, int(model.capacity(now))):
+            self.start(model, one, seat)
+        elif len(model.waiting) < model.queue:
+            model.waiting.append((one, seat))
+        else:
+            self.engine.after(CONNECT, lambda: seat.end_try(one, Outcome.FULL))
+        if model.cold(now) and len(model.busy) + len(model.waiting) > model.fall_multiple * model.capacity(now):
+            self.fall(model)
+
+    def start(self, model: ServerModel, one, seat) -> None:
+        now = self.engine.now
+        model.busy[one] = (seat, now)
+        if model.mode == "silent":
+            return  # holds the place until the try is given up
+        took = self.rng.expovariate(1.0 / model.service) * (model.slow_factor if model.mode == "slow" else 1.0)
+        self.engine.after(took, lambda: self.finish(model, one))
+
+    def finish(self, model: ServerModel, one) -> None:
+        held = model.busy.pop(one, None)
+        if held is None:
+            return
+        seat, _ = held
+        failing = model.mode == "failing" or self.rng.random() < model.error_share
+        if self.lost_share and self.rng.random() < self.lost_share:
+            pass  # the answer is lost: the try ends by its timeout
+        else:
+            seat.end_try(one, Outcome.ERROR if failing else Outcome.OK)
+        self.pump(model)
+
+    def pump(self, model: ServerModel) -> None:
+        now = self.engine.now
+        while model.waiting and len(model.busy) < max(1, int(model.capacity(now))):
+            one, seat = model.waiting.popleft()
+            if one.outcome is None:
+                self.start(model, one, seat)
+
+    def abandon(self, one) -> None:
+        """The limiter stopped waiting: the place comes free (work already begun is wasted)."""
+        model = self.models.get(one.server.id)
+        if model and model.busy.pop(one, None) is not None:
+            self.pump(model)
+
+    def fall(self, model: ServerModel) -> None:
+        model.falls += 1
+        self.referee.breaks(4, f"cold server {model.id} pushed over: {len(model.busy) + len(model.waiting)} "
+                               f"held against {model.capacity(self.engine.now):.1f} places")
+        held = list(model.busy.items()) + [(one, (seat, 0.0)) for one, seat in model.waiting]
+        model.busy.clear()
+        model.waiting.clear()
+        model.down_until = self.engine.now + model.fall_for
+        for one, (seat, _) in held:
+            seat.end_try(one, Outcome.RESET)
+
+
+class Keeper:
+    """One count keeper: named totals (units) that live `lives` seconds from their first add."""
+
+    def __init__(self) -> None:
+        self.counts: dict[int, list[float]] = {}
+
+    def add(self, name: int, amount: float, lives: float, now: float) -> float:
+        held = self.counts.get(name)
+        if held is None or held[1] <= now:
+            held = self.counts[name] = [0.0, now + lives]
+        held[0] += amount
+        return held[0]
+
+
+class Counter:
+    """The shared counter: one keeper, or two while split (limiters by their index's parity see each)."""
+
+    def __init__(self, engine, rng: random.Random, delay: float, wait: float):
+        self.engine, self.rng, self.delay, self.wait = engine, rng, delay, wait
+        self.keepers = [Keeper()]
+        self.down = False
+        self.lost_share = 0.0
+        self.calls = 0
+
+    def count(self, seat, name: int, amount: float, lives: float, told) -> None:
+        self.calls += 1
+        if self.down or (self.lost_share and self.rng.random() < self.lost_share):
+            seat.later(self.wait, lambda: told(Outcome.TIMEOUT, 0.0, self.wait))
+            return
+        keeper = self.keepers[seat.index % len(self.keepers)]
+        total = keeper.add(name, amount, lives, self.engine.now)
+        took = self.delay * (0.5 + self.rng.random())
+        seat.later(took, lambda: told(Outcome.OK, total, took))
+
+    def wipe(self) -> None:
+        for keeper in self.keepers:
+            keeper.counts.clear()
+
+    def split(self, on: bool) -> None:
+        self.keepers = [self.keepers[0], Keeper()] if on else [self.keepers[0]]
+
+
+class Discovery:
+    """Tells every living limiter of each change to the server list, `delay` seconds later."""
+
+    def __init__(self, engine, delay: float):
+        self.engine, self.delay = engine, delay
+        self.seats: list = []
+
+    def changed(self, models: list[ServerModel]) -> None:
+        entries = [model.entry() for model in models]
+        for seat in self.seats:
+            seat.later(self.delay, lambda seat=seat: seat.servers(entries, whole=False))
