--- /dev/null
+++ b/brookhub/cli.py
@@ -0,0 +1,149 @@
+"""The command line: `brookhub run | check-config | emulate | lab sweep | lab plot | version` (click).
+
+Exit codes: 0 done; 1 a rule was broken in a strict emulation; 2 a configuration or start that can't be used.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from importlib import resources
+from pathlib import Path
+
+import click
+
+from .config import ConfigError, Experiment, GatewayFile, load
+from .program import log
+
+DEFAULT = "limiters"  # the embedded experiment of `brookhub emulate` without a file
+
+
+def experiment_of(path: str | None) -> Experiment:
+    if path:
+        return load(path, Experiment)
+    text = resources.files("brookhub.lab").joinpath("default.toml").read_text()
+    from .config import loads
+    return loads(text, Experiment, "embedded default")
+
+
+def refuse(broken: ConfigError) -> None:
+    click.echo(f"brookhub: {broken}", err=True)
+    sys.exit(2)
+
+
+@click.group()
+@click.option("--log-format", type=click.Choice(["json", "console"]), default="json", show_default=True,
+              help="structured log lines on standard error: JSON lines or for a terminal")
+def main(log_format: str) -> None:
+    """brookhub: a quota-keeping API gateway, its fleet emulator and its lab."""
+    log.setup(log_format)
+
+
+@main.command()
+@click.option("--config", "path", type=click.Path(dir_okay=False), help="start file, TOML or JSON (else NODE_CONFIG)")
+def run(path: str | None) -> None:
+    """Run the gateway on sockets in the foreground (as `python -m brookhub`)."""
+    if path:
+        os.environ["NODE_CONFIG"] = path
+    from .program.run import main as serve
+    sys.exit(serve())
+
+
+@main.command("check-config")
+@click.argument("path", type=click.Path(dir_okay=False))
+@click.option("--kind", type=click.Choice(["auto", "experiment", "gateway"]), default="auto", show_default=True)
+def check_config(path: str, kind: str) -> None:
+    """Check a configuration file; one line naming key and line for the first fault, exit 2."""
+    if kind == "auto":
+        kind = "experiment" if "[fleet" in Path(path).read_text(errors="replace") else "gateway"
+    try:
+        if kind == "experiment":
+            load(path, Experiment)
+        elif path.endswith(".json"):
+            from .program import startfile
+            startfile.read({"NODE_CONFIG": path})
+        else:
+            load(path, GatewayFile)
+    except ConfigError as broken:
+        refuse(broken)
+    except Exception as broken:  # the JSON start file's own checks (StartError)
+        click.echo(f"brookhub: {broken}", err=True)
+        sys.exit(2)
+    click.echo(f"{path}: a good {kind} file")
+
+
+@main.command()
+@click.argument("experiment", required=False, type=click.Path(dir_okay=False))
+@click.option("--seed", type=int, help="instead of the experiment's")
+@click.option("--duration", type=float, help="simulated seconds, instead of the experiment's")
+@click.option("--limiters", type=int, help="instead of fleet.limiters")
+@click.option("--strict/--no-strict", default=None, help="stop at the first broken rule and print its trail")
+def emulate(experiment: str | None, seed: int | None, duration: float | None, limiters: int | None,
+            strict: bool | None) -> None:
+    """Play one experiment (without sweep) in the emulator; prints its metrics as JSON."""
+    from .emulator import Fleet, RuleBroken
+    from .lab.sweep import with_value
+    try:
+        spec = experiment_of(experiment)
+    except ConfigError as broken:
+        refuse(broken)
+    if duration:
+        spec = with_value(spec, "duration_s", duration)
+    if limiters:
+        spec = with_value(spec, "fleet.limiters", limiters)
+    if strict is not None:
+        spec = with_value(spec, "strict", strict)
+    try:
+        result = Fleet(spec, seed=seed).run()
+    except RuleBroken as broken:
+        click.echo(str(broken), err=True)
+        sys.exit(1)
+    click.echo(json.dumps(result.metrics(), sort_keys=True))
+    sys.exit(1 if result.broken and spec.strict else 0)
+
+
+@main.group()
+def lab() -> None:
+    """Sweeps and plots over experiments."""
+
+
+@lab.command()
+@click.argument("experiment", type=click.Path(dir_okay=False))
+@click.option("--out", type=click.Path(file_okay=False), help="results folder (default: lab/NAME)")
+@click.option("--processes", type=int, help="worker processes (default: the experiment's, else one a core)")
+@click.option("--limit", type=int, help="play at most so many points now; the rest on the next call")
+@click.option("--plot/--no-plot", "draw", default=True)
+def sweep(experiment: str, out: str | None, processes: int | None, limit: int | None, draw: bool) -> None:
+    """Play the experiment's grid, resuming where results exist, then plot."""
+    from .lab import plot as plotting
+    from .lab import sweep as sweeping
+    try:
+        spec = load(experiment, Experiment)
+    except ConfigError as broken:
+        refuse(broken)
+    folder = Path(out or f"lab/{spec.name}")
+    played = sweeping.sweep(spec, folder, processes, limit)
+    click.echo(f"{played} points played into {folder / sweeping.RESULTS}")
+    if draw and sweeping.done(folder):
+        click.echo(f"plot: {plotting.plot(folder, spec.name)}")
+
+
+@lab.command()
+@click.argument("folder", type=click.Path(file_okay=False, exists=True))
+@click.option("--title", default="")
+@click.option("--png", type=click.Path(dir_okay=False))
+def plot(folder: str, title: str, png: str | None) -> None:
+    """Draw the plots of a results folder."""
+    from .lab import plot as plotting
+    click.echo(plotting.plot(Path(folder), title or Path(folder).name, Path(png) if png else None))
+
+
+@main.command()
+def version() -> None:
+    """The program's version."""
+    from importlib.metadata import PackageNotFoundError, version as installed
+    try:
+        click.echo(installed("brookhub"))
+    except PackageNotFoundError:
+        click.echo("brookhub (not installed)")
--- a/brookhub/config/load.py
+++ b/brookhub/config/load.py
@@ -46,7 +46,8 @@
     try:
         return model.model_validate(raw)
     except ValidationError as invalid:
-        first = invalid.errors()[0]
+        errors = sorted(invalid.errors(), key=lambda error: error["type"] != "extra_forbidden")
+        first = errors[0]  # an unknown key first: a misspelt key also makes the right one missing
         path = tuple(first["loc"])
         kind = {"extra_forbidden": "unknown key", "missing": "required key missing"}.get(first["type"], first["msg"])
         if first["type"] == "missing":
--- a/brookhub/emulator/fleet.py
+++ b/brookhub/emulator/fleet.py
@@ -8,10 +8,12 @@
 
 import random
 import time
+from types import ModuleType
 from dataclasses import dataclass, field
 
 from hdrh.histogram import HdrHistogram
 
+from .. import policy
 from ..config.models import Experiment, FaultSpec
 from ..interface import ApiCall, Group, Plan, Repeat, Route, State
 from .engine import Engine
@@ -36,6 +38,7 @@
     errored: int = 0
     lost: int = 0
     left: int = 0
+    open: int = 0  # still awaiting their answer when the run ended
     tries: int = 0
     counter_calls: int = 0
     events: int = 0
@@ -53,7 +56,7 @@
         answered = max(1, self.calls - self.left)
         return {
             "calls": self.calls, "proxied": self.proxied, "rate_limited": self.rate_limited,
-            "errored": self.errored, "lost": self.lost, "left": self.left, "tries": self.tries,
+            "errored": self.errored, "lost": self.lost, "left": self.left, "open": self.open, "tries": self.tries,
             "served_share": self.proxied / answered, "rate_limited_share": self.rate_limited / answered,
             "errored_share": (self.errored + self.lost) / answered,
             "p50_ms": self.latency.get_value_at_percentile(50) / 1000,
@@ -90,8 +93,11 @@
 class Fleet:
     """Builds the model from an Experiment and plays it; `referee` judges the rules at each event."""
 
-    def __init__(self, experiment: Experiment, seed: int | None = None, keep_trail: bool = True):
+    def __init__(self, experiment: Experiment, seed: int | None = None, keep_trail: bool = True,
+                 decisions: ModuleType = policy):
+        """`decisions`: the module whose Gateway each limiter runs (tests pass a broken copy)."""
         self.experiment = spec = experiment
+        self.decisions = decisions
         self.seed = experiment.seed if seed is None else seed
         self.rng = random.Random(self.seed)
         self.engine = Engine()
@@ -317,6 +323,7 @@
     def finish(self, wall: float) -> None:
         result, end = self.result, self.experiment.duration_s
         result.wall_s, result.events = wall, self.engine.events
+        result.open = len(self.started)
         result.counter_calls = self.counter.calls
         result.cold_falls = sum(model.falls for model in self.servers.models.values())
         result.broken, result.first_break = dict(self.referee.broken), self.referee.first_break
--- a/brookhub/emulator/limiter.py
+++ b/brookhub/emulator/limiter.py
@@ -8,7 +8,6 @@
 from typing import Callable
 
 from ..interface import ApiCall, Outcome, Server, Told, UpstreamTry
-from ..policy import Gateway
 from ..roster import Customers, Roster
 
 
@@ -21,7 +20,7 @@
         self.roster, self.customers = Roster(), Customers()
         self.calls: dict[int, ApiCall] = {}
         self.logged = 0
-        self.gateway = Gateway(self, seed, **{**terms, "slot": index})
+        self.gateway = fleet.decisions.Gateway(self, seed, **{**terms, "slot": index})
 
     @property
     def now(self) -> float:
--- a/brookhub/program/log.py
+++ b/brookhub/program/log.py
@@ -7,15 +7,22 @@
 import structlog
 
 
-def open_log(name: str):
-    """Lines of JSON on standard error, each with the time and this gateway's name."""
+def setup(form: str = "json") -> None:
+    """One log configuration for every sub-command: JSON lines (`json`) or a terminal's (`console`), on stderr."""
+    render = structlog.dev.ConsoleRenderer(colors=False) if form == "console" else structlog.processors.JSONRenderer()
     structlog.configure(
         processors=[structlog.processors.add_log_level,
                     structlog.processors.TimeStamper(fmt="iso", utc=True),
                     structlog.processors.format_exc_info,
-                    structlog.processors.JSONRenderer()],
+                    render],
         logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
         cache_logger_on_first_use=True)
+
+
+def open_log(name: str):
+    """Lines of JSON on standard error, each with the time and this gateway's name (unless set up otherwise)."""
+    if not structlog.is_configured():
+        setup("json")
     return structlog.get_logger(node=name)
 
 
--- a/brookhub/program/startfile.py
+++ b/brookhub/program/startfile.py
@@ -60,6 +60,15 @@
         raise StartError(f"{what}: an address of the form HOST:PORT is needed, not {text!r}") from None
 
 
+def toml(text: bytes, path: str) -> dict:
+    """A start file in TOML, checked against config.models.GatewayFile: the same keys as the JSON one."""
+    from ..config import ConfigError, GatewayFile, loads
+    try:
+        return loads(text.decode(errors="replace"), GatewayFile, path).start_json()
+    except ConfigError as broken:
+        raise StartError(str(broken).removeprefix(f"{path}: ")) from None
+
+
 def read(environment: Mapping[str, str], again: bool = False) -> Start:
     """The file is the newer word where it is read again: the variables are those of the program's start."""
     path = environment.get("NODE_CONFIG")
@@ -71,6 +80,7 @@
     except OSError as broken:
         raise StartError(f"{path}: {broken.strerror}") from None
     try:
-        return Start(parse(text), environment, again)
+        told = toml(text, path) if path.endswith(".toml") else parse(text)
+        return Start(told, environment, again)
     except (TermsError, StartError) as broken:
         raise StartError(f"{path}: {broken}") from None
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,139 @@
+"""The emulator: replay, the rules judged on a run with faults, a broken module caught, the clock's grain."""
+
+import importlib.util
+import sys
+
+import pytest
+
+from brookhub.config import Experiment, loads
+from brookhub.emulator import Fleet, RuleBroken
+from brookhub.emulator.engine import Engine
+
+SMALL = """
+name = "small"
+duration_s = 8.0
+strict = true
+[fleet]
+limiters = 6
+zones = 2
+[fleet.servers]
+count = 12
+[[fleet.routes]]
+name = "grid-fetch"
+target_s = 0.5
+client_timeout_s = 2.0
+share = 3
+[[fleet.routes]]
+name = "solve-submit"
+target_s = 1.0
+client_timeout_s = 3.0
+repeat = "non_idempotent"
+[[fleet.routes]]
+name = "save"
+target_s = 1.0
+client_timeout_s = 3.0
+repeat = "tokened"
+group = "zone"
+window_s = 2.0
+[[fleet.plans]]
+name = "hard"
+rate = 20.0
+burst = 40.0
+ceiling_rate = 24.0
+ceiling_burst = 48.0
+customers = 4
+calls_per_s = 25.0
+[[fleet.plans]]
+name = "soft"
+rate = 5.0
+burst = 10.0
+customers = 6
+calls_per_s = 8.0
+"""
+
+FAULTS = """
+[[faults]]
+at_s = %s
+action = "%s"
+share = 0.5
+for_s = 2.0
+"""
+
+
+def experiment(*faults, **changes):
+    text = SMALL + "".join(FAULTS % fault for fault in faults)
+    return loads(text, Experiment).model_copy(update=changes)
+
+
+def test_a_seed_replayed_gives_the_same_trail_and_another_seed_does_not():
+    one, two = Fleet(experiment(("2.0", "kill_limiters"))), Fleet(experiment(("2.0", "kill_limiters")))
+    first, second = one.run(), two.run()
+    assert first.digest == second.digest and list(one.referee.trail) == list(two.referee.trail)
+    assert first.metrics() | {"wall_s": 0, "events_per_s": 0} == second.metrics() | {"wall_s": 0, "events_per_s": 0}
+    assert Fleet(experiment(), seed=2).run().digest != Fleet(experiment(), seed=3).run().digest
+
+
+@pytest.mark.parametrize("fault", ["restart_limiters", "replace_servers", "drain_servers", "zone_lost",
+                                   "counter_down", "counter_wipe", "counter_split", "lose_answers",
+                                   "failing_servers", "slow_servers"])
+def test_every_fault_is_played_with_the_rules_judged_at_each_event(fault):
+    # Strict: any break of rules 1 to 4 raises with its trail; the faults cause the failures the module handles.
+    result = Fleet(experiment(("3.0", fault))).run()
+    metrics = result.metrics()
+    assert not result.broken and metrics["calls"] > 300
+    assert metrics["calls"] == metrics["proxied"] + metrics["rate_limited"] + metrics["errored"] + \
+        metrics["lost"] + metrics["left"] + metrics["open"]  # every API call ended one way, or is still open
+    if fault == "zone_lost":
+        assert metrics["errored_share"] + metrics["rate_limited_share"] > 0.0 or metrics["tries"] > metrics["proxied"]
+
+
+def test_a_killed_limiter_loses_its_calls_but_no_rule_breaks():
+    result = Fleet(experiment(("2.0", "kill_limiters"))).run()
+    assert result.lost > 0 and not result.broken
+
+
+def broken_copy():
+    """The decision module, copied with one line changed: every outcome counts as proof that nothing ran."""
+    spec = importlib.util.find_spec("brookhub.policy")
+    source = spec.loader.get_source("brookhub.policy")
+    line = "NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.UNSENT)"
+    assert line in source
+    source = source.replace(line, "NEVER_RAN = tuple(Outcome)")
+    module = importlib.util.module_from_spec(importlib.util.spec_from_loader("brookhub.policy_broken", loader=None))
+    module.__package__ = "brookhub"
+    exec(compile(source, "policy_broken.py", "exec"), module.__dict__)
+    return module
+
+
+def test_a_broken_rule_in_a_copy_of_the_module_is_caught_with_its_trail():
+    # Failing servers make errors; the broken copy then sends a non-idempotent call again: rule 2.
+    spec = experiment(("1.0", "failing_servers"))
+    with pytest.raises(RuleBroken) as caught:
+        Fleet(spec, decisions=broken_copy()).run()
+    assert caught.value.rule == 2 and "sent again" in caught.value.text
+    assert any(" send " in line for line in caught.value.trail) and "BROKEN" in caught.value.trail[-1]
+    assert not Fleet(spec).run().broken  # the real module, on the same run, holds
+
+
+def test_a_send_to_a_drained_server_after_the_grace_is_caught():
+    fleet = Fleet(experiment(), )
+    fleet.discovery.delay = 5.0  # the list comes later than the grace: the limiters send on
+    fleet.schedule(loads(SMALL + FAULTS % ("1.0", "drain_servers"), Experiment).faults[0])
+    with pytest.raises(RuleBroken) as caught:
+        fleet.run()
+    assert caught.value.rule == 3
+
+
+def test_a_wait_below_the_clocks_resolution_still_moves_the_clock():
+    # Without the engine's grain a store short by a rounding remainder asked for 1e-17 s again and again at the
+    # same instant, and the run never ended.
+    engine, fired = Engine(), []
+
+    def retake():
+        fired.append(engine.now)
+        if len(fired) < 5000 and engine.now < 0.9:
+            engine.after(1e-17, retake)
+
+    engine.at(0.8333333333333331, retake)
+    engine.run(1.0)
+    assert len(set(fired)) == len(fired) and fired[-1] > fired[0]  # each retake at a later instant
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,65 @@
+"""Configuration errors, the command line, the TOML start file, and a sweep cut off and resumed."""
+
+import json
+
+import pytest
+from click.testing import CliRunner
+
+from brookhub.cli import main
+from brookhub.config import ConfigError, Experiment, GatewayFile, loads
+from brookhub.lab import sweep
+from brookhub.program import startfile
+
+from test_emulator import SMALL
+
+
+@pytest.mark.parametrize("change, key, line, why", [
+    (("limiters = 6", 'limiters = "six"'), "fleet.limiters", 6, "integer"),
+    (("zones = 2", "zones = 2\nlimters = 4"), "fleet.limters", 8, "unknown key"),
+    (('name = "grid-fetch"\ntarget_s = 0.5\n', 'name = "grid-fetch"\n'), "fleet.routes.0.target_s", 10, "missing"),
+])
+def test_a_bad_experiment_gives_one_error_naming_key_and_line_and_exit_2(tmp_path, change, key, line, why):
+    path = tmp_path / "bad.toml"
+    path.write_text(SMALL.replace(*change))
+    with pytest.raises(ConfigError) as caught:
+        loads(path.read_text(), Experiment, str(path))
+    assert caught.value.key == key and caught.value.line == line and why in str(caught.value)
+    ran = CliRunner().invoke(main, ["check-config", str(path)])
+    assert ran.exit_code == 2 and f"{path}:{line}: {key}" in ran.output
+
+
+def test_the_toml_start_file_reads_as_the_json_one_and_refuses_unknown_keys(tmp_path):
+    good = 'listen = "127.0.0.1:7000"\ndiscovery = "127.0.0.1:7001"\n[settings]\nbalancers = 2\n'
+    path = tmp_path / "gateway.toml"
+    path.write_text(good)
+    start = startfile.read({"NODE_CONFIG": str(path)})
+    assert start.listen == ("127.0.0.1", 7000) and start.terms["gateways"] == 2
+    path.write_text(good.replace("listen", "listne"))
+    with pytest.raises(startfile.StartError, match="listne: unknown key"):
+        startfile.read({"NODE_CONFIG": str(path)})
+    assert GatewayFile.model_validate({"listen": "a:1", "discovery": "b:2", "settings": {}}).name == "limiter"
+
+
+def test_emulate_prints_metrics_and_version_answers():
+    runner = CliRunner()
+    ran = runner.invoke(main, ["emulate", "--duration", "2", "--limiters", "3"])
+    assert ran.exit_code == 0, ran.output
+    assert json.loads(ran.output.strip().splitlines()[-1])["calls"] > 100
+    assert runner.invoke(main, ["version"]).exit_code == 0
+
+
+def test_a_sweep_cut_off_half_way_resumes_without_redoing_finished_points(tmp_path):
+    text = SMALL.replace("duration_s = 8.0", "duration_s = 2.0") + \
+        '[sweep]\nseeds = [1, 2]\n[[sweep.axes]]\nparameter = "fleet.limiters"\nvalues = [2, 4]\n'
+    spec = loads(text, Experiment)
+    assert sweep.sweep(spec, tmp_path, processes=1, limit=3) == 3
+    with open(tmp_path / sweep.RESULTS, "a") as sink:
+        sink.write('{"key": "torn')  # a sweep killed while writing a line: that point is played again
+    first = {row["key"]: row["metrics"]["digest"] for row in sweep.read(tmp_path)}
+    assert sweep.sweep(spec, tmp_path, processes=2) == 1
+    rows = sweep.read(tmp_path)
+    assert len(rows) == 4 and len({row["key"] for row in rows}) == 4
+    assert all(row["metrics"]["digest"] == first[row["key"]] for row in rows if row["key"] in first)
+    assert sweep.sweep(spec, tmp_path, processes=1) == 0
+    ran = CliRunner().invoke(main, ["lab", "plot", str(tmp_path)])
+    assert ran.exit_code == 0 and (tmp_path / "plot.png").stat().st_size > 10_000
