Emulator: a cold server's fall ends its tries after the send; zone-cold near capacity

Trace: Servers.take saw a cold server held beyond fall_multiple during Port.send and ended its tries at once, inside send, before the module had recorded the try. The sockets port never ends a try inside send; the model now delivers the resets as events after the current one (world.py, Servers.fall). The module is unchanged.

--- a/brookhub/emulator/world.py
+++ b/brookhub/emulator/world.py
@@ -116,8 +116,8 @@
         model.busy.clear()
         model.waiting.clear()
         model.down_until = self.engine.now + model.fall_for
-        for one, (seat, _) in held:
-            seat.end_try(one, Outcome.RESET)
+        for one, (seat, _) in held:  # as events of their own: a fall seen inside Port.send must not end the try
+            self.engine.after(0.0, lambda one=one, seat=seat: seat.end_try(one, Outcome.RESET))  # before it returns
 
 
 class Keeper:
