--- a/brookhub/emulator/limiter.py
+++ b/brookhub/emulator/limiter.py
@@ -54,9 +54,16 @@
     def rate_limit(self, call: ApiCall, retry_after: float) -> None:
         self.fleet.referee.rate_limiting(call)
         self.fleet.answer(self, call, "rate-limited", retry_after)
+        self.release(call)
 
     def error(self, call: ApiCall) -> None:
         self.fleet.answer(self, call, "errored")
+        self.release(call)
+
+    def release(self, call: ApiCall) -> None:
+        """Forget an answered call once none of its tries is out (one refused unsent was kept for ever)."""
+        if all(one.outcome for one in call.tries):
+            self.calls.pop(call.id, None)
 
     def count(self, name: int, amount: float, lives: float, told: Told) -> None:
         self.fleet.counter.count(self, name, amount, lives, told)
@@ -111,5 +118,5 @@
             self.fleet.answer(self, one.call, "proxied", 0.0, one)
             final = True
         self.gateway.try_ended(one, self.now - one.sent, final, 0.0, None, {})
-        if all(other.outcome for other in one.call.tries) and one.call.rq is None:
-            self.calls.pop(one.call.id, None)
+        if one.call.rq is None:
+            self.release(one.call)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -87,9 +87,12 @@
         assert metrics["errored_share"] + metrics["rate_limited_share"] > 0.0 or metrics["tries"] > metrics["proxied"]
 
 
-def test_a_killed_limiter_loses_its_calls_but_no_rule_breaks():
-    result = Fleet(experiment(("2.0", "kill_limiters"))).run()
-    assert result.lost > 0 and not result.broken
+def test_a_killed_limiter_loses_its_calls_but_no_rule_breaks_and_answered_calls_are_forgotten():
+    fleet = Fleet(experiment(("2.0", "kill_limiters")))
+    result = fleet.run()
+    assert result.lost > 0 and not result.broken and result.rate_limited > 0
+    # Calls refused before any try were held by their limiter for ever: memory grew with the run.
+    assert sum(len(seat.calls) for seat in fleet.seats) <= result.open
 
 
 def broken_copy():
