--- a/brookhub/config/models.py
+++ b/brookhub/config/models.py
@@ -50,7 +50,8 @@
     cold_from: float = Field(0.3, gt=0, le=1)
     warm_after_s: float = Field(10.0, ge=0)
     fall_multiple: float = Field(3.0, gt=1)
-    fall_for_s: float = Field(2.0, ge=0)
+    fall_for_s: float = Field(2.0, ge=0, description="how long a fallen server stays down")
+    fall_within_s: float = Field(1.0, gt=0, description="rule 4's window: sends over it are judged")
     error_share: float = Field(0.0, ge=0, lt=1)
 
 
--- a/brookhub/emulator/fleet.py
+++ b/brookhub/emulator/fleet.py
@@ -119,7 +119,8 @@
         self.servers = Servers(self.engine, self.referee, random.Random(self.rng.getrandbits(64)), [
             ServerModel(index, index % fleet.zones, (index // fleet.zones) % CELLS, servers.places, servers.queue,
                         servers.service_s, servers.cold_from, servers.warm_after_s, servers.fall_multiple,
-                        servers.fall_for_s, up_since=-servers.warm_after_s - 1.0, error_share=servers.error_share)
+                        servers.fall_for_s, servers.fall_within_s, up_since=-servers.warm_after_s - 1.0,
+                        error_share=servers.error_share)
             for index in range(servers.count)])
         self.next_server = servers.count
         self.counter = Counter(self.engine, random.Random(self.rng.getrandbits(64)), fleet.counter.delay_s,
@@ -130,7 +131,7 @@
             "counter_wait": fleet.counter.wait_s if fleet.counter.on else 0.0, "largest": 1.0, "trued_up": False,
             "max_tries": fleet.max_tries, "second_copies": fleet.second_copies, "may_cancel": fleet.may_cancel,
             "longest_retry_after": fleet.longest_retry_after_s, "cold_from": servers.cold_from,
-            "warm_after": servers.warm_after_s, "fall_multiple": servers.fall_multiple, "fall_within": 1.0,
+            "warm_after": servers.warm_after_s, "fall_multiple": servers.fall_multiple, "fall_within": servers.fall_within_s,
             "asks_for_servers": False, "ask_within": 10.0}
         self.seats: list[Seat] = []
         for index in range(fleet.limiters):
@@ -284,7 +285,7 @@
             if replace:
                 new = ServerModel(self.next_server, model.zone, model.cell, model.places, model.queue, model.service,
                                   model.cold_from, model.warm_after, model.fall_multiple, model.fall_for,
-                                  up_since=self.engine.now, error_share=model.error_share)
+                                  model.fall_within, up_since=self.engine.now, error_share=model.error_share)
                 self.next_server += 1
                 self.servers.models[new.id] = new
                 fresh.append(new)
