Start file in TOML: a fault is told once with its line, not with the path twice

It now builds 'line N: KEY: WHY' from the ConfigError and read() names the file once. The test of the TOML start file now asks for the whole line.

--- a/brookhub/program/startfile.py
+++ b/brookhub/program/startfile.py
@@ -66,7 +66,7 @@
     try:
         return loads(text.decode(errors="replace"), GatewayFile, path).start_json()
     except ConfigError as broken:
-        raise StartError(str(broken).removeprefix(f"{path}: ")) from None
+        raise StartError(f"line {broken.line}: {broken.key}: {broken.why}") from None  # read() names the file
 
 
 def read(environment: Mapping[str, str], again: bool = False) -> Start:
