Servers that turn away rest, count as away, and cost a call only its time

Ruled out: the counter (quick again by then), true overload (answers of the others took 0.3 s), the clients' time (errors came at once).

At fault: Upstreams.judge gave a FULL no rest (good stayed 1, so free_at lay in the past) and left the server's rank untouched, so the quickest to answer looked best; a FULL narrowed the window for all servers; Upstreams.may_try threw the die of further tries also for calls of which nothing had run; draw made nothing up for such servers.

Change: FULL and UNCONNECTED make a server 'away': it rests 0.5 s, doubled up to 16 s, by chance, gets one try at a time, is made up for in the part at once; it no longer narrows the window; a call of which nothing ran tries on.

--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -26,6 +26,7 @@
 LATE = 0.4  # share of the counter's wait from which an answer counts as late: its line grows
 OUTCOMES, FAILING = 8, 0.5  # last outcomes, few, that judge a server; share of successes under which it rests
 REST = 4.0  # s of rest after a failure for one that only fails, less for one that fails less
+AWAY, AWAY_MOST = 0.5, 16.0  # s of rest, about, for one that takes nothing, doubled while it does; at most
 PLACES = 6.0  # places at a server, for all gateways that use it together: a few cores' worth
 WINDOW = 2.0  # tries out for each server at least, by all gateways: a core or two are not jammed by them
 PART, SEEN, REDRAW = 12, 2.5, 1.0  # servers used at least; s between tries at each, to know it; between looks
@@ -350,6 +351,7 @@
     def __init__(self, server, places, phase, now):
         self.server, self.up_since, self.tries, self.places = server, server.up_since, [], places
         self.outcomes, self.good, self.free_at, self.seen = deque([True] * OUTCOMES, OUTCOMES), 1.0, 0.0, 0.0
+        self.away = 0  # tries in a row that it took nothing of: it is full, drains or is gone, told or not
         self.took, self.ends = Fading(), Fading()
         self.cold = Store(0.0, 1.0, phase, now)  # tries while cold, first a part of one: no rush of crumbs
 
@@ -357,7 +359,10 @@
         """Whether a place is free. Who fails gets a try at a time, after a rest; who is stuck, none."""
         if now < self.free_at or any(now - one.sent > PATIENCE * one.call.route.target for one in self.tries):
             return False
-        return len(self.tries) < (1 if self.good < FAILING else int(self.places))
+        return len(self.tries) < (int(self.places) if self.sound() else 1)
+
+    def sound(self):
+        return self.good >= FAILING and not self.away
 
     def delay(self, now, typical):  # seconds that an answer takes, or that the oldest try has waited
         mean = (self.took.read(now) + typical) / (self.ends.read(now) + 1)
@@ -398,7 +403,7 @@
         for view in self.servers[start:] + self.servers[:start]:
             if sound < size:
                 self.part.append(view)
-                sound += view.good >= FAILING
+                sound += view.sound()
         self.peers = max(1.0, self.gateways * len(self.part) / max(1, count))
         self.window = self.window or max(1.0, PLACES * count / self.gateways)
         self.warm = sum(self.is_warm(view) for view in self.part)
@@ -473,6 +478,8 @@
         patience = PATIENCE * one.call.route.target
         if outcome is Outcome.UNSENT or outcome is Outcome.CANCELLED and took < patience:
             return  # but given up for its slowness it counts as failed, whether work or answer was lost
+        away = outcome in (Outcome.FULL, Outcome.UNCONNECTED)
+        view.away = view.away + 1 if away else 0
         if outcome is not Outcome.FULL:
             view.outcomes.extend([good] * (2 if outcome is Outcome.UNCONNECTED else 1))
             view.good = sum(view.outcomes) / OUTCOMES
@@ -484,18 +491,24 @@
             self.best, self.best_at = min(self.delay(), relaxed or self.delay()), now
         # A gateway sees a server seldom, the fleet often: while answers are slow, fewer tries are out in all.
         # Tries without an answer count less: it may be lost where work runs well, if none comes all is stuck.
-        if outcome is Outcome.FULL or took > min(CROWDED * self.best or patience, patience):
+        # One that turns away tells of itself alone: it drains, or its answers would have been slow before.
+        if not away and took > min(CROWDED * self.best or patience, patience):
             self.window = min(self.window, self.out + 1) * NARROW ** (1 if good else GIVEN_UP)
             self.window = max(1.0, WINDOW * len(self.servers) / self.gateways, self.window)
         elif good and 2 * self.out + 2 >= self.window:
             self.window *= WIDEN
         view.seen, view.free_at = now, now if good else now + REST * (1 - view.good / FAILING)
+        if away:  # all gateways meet it: by chance they don't come back together, and the part is made up for
+            wait = min(AWAY_MOST, AWAY * 2 ** min(view.away - 1, 9)) * (0.5 + self.dice.roll())
+            view.free_at, self.drawn_at = max(view.free_at, now + wait), -REDRAW
 
     def may_try(self, rq):  # whether rules, time and recent luck allow a further try
         now, ran = self.port.now, rq.may_have_run()
         allowed = any(self.group_allows(rq, view.server, ran) for view in self.part)
         if len(rq.call.tries) >= self.max_tries or now + self.delay() > rq.target_at or not allowed:
             return False
+        if all(one.outcome in NEVER_RAN for one in rq.call.tries):
+            return True  # nothing ran: the next costs nothing but its time
         return self.dice.roll() < (self.helped.read(now) + 1) / (self.further.read(now) + 1)
 
     def doubt(self, rq, one):  # a try out for PATIENCE is given up if another server should do better
