Lists are asked for at drawn, growing pauses by the number of gateways; 503 is told apart

Ruled out: the network (answers came), the list's words (all that came were read). Discovery answers one call in 0.149 s (eight in a row at such steps), in turn, and turns away after 2 s in its line; all limiters dialled at the same instants, once a second for good.

At fault: Dialling.run paused alike at all limiters, 1 s at most; Lines.status took 503 for nonsense.

Change: each pause is drawn (seeded) between half and one and a half; where lists are asked for, the first one is 0.1 s for each gateway, half the time to ask in at most, and grows to twice that time. 503 and 429 end as turned-away, and Retry-After is heeded.

Tests: test_routing.py, test_protocol.py.

--- a/brookhub/program/run.py
+++ b/brookhub/program/run.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from random import Random
 from time import monotonic, sleep, time
 
 from ..policy import Gateway
@@ -33,6 +34,8 @@
 COUNTER_CONNECT, COUNTER_SILENT = 0.5, 1.0  # s to come up; s without a word while calls wait
 DISCOVERY_CONNECT, DISCOVERY_SILENT = 1.0, 4.5  # s to come up; s without a line: two are due every 4 s
 PAUSES = (0.05, 1.0)  # s between two dials, doubled while they bring nothing
+LIST_TAKES = 0.1  # s of pause for each gateway where lists are asked for: discovery has them all to answer, one by one
+LIST_SOON, LIST_LATE = 0.5, 2.0  # shares of the time to ask in: the longest first pause, the longest of all
 GRAIN = 0.001  # s between looks at the timers: each costs a thread's wake; no timer is that exact
 GARBAGE = 5000  # objects made between two looks for garbage in cycles: that of about a hundred API calls
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
@@ -41,6 +44,15 @@
 # most, and some more; SIGKILL may come 0.7 s after that
 
 
+def list_pauses(terms: dict) -> tuple[float, float]:
+    """The pauses (s) between two dials of discovery, the first and the longest. Where lists are asked for, its line is
+    that of the whole fleet, and what all ask at one moment it answers late or not at all: each waits for its part."""
+    if not terms["asks_for_servers"]:
+        return PAUSES
+    first = max(PAUSES[0], min(LIST_TAKES * terms["gateways"], LIST_SOON * terms["ask_within"]))
+    return first, max(first, PAUSES[1], LIST_LATE * terms["ask_within"])
+
+
 class Program:
     """One gateway on sockets."""
 
@@ -53,13 +65,13 @@
         clients_most = max(8, start.sockets - servers_most - COUNTER_LINKS - SPARE)
         port.servers = Servers(port, ends, start.connect_within, start.server_idle_for * IDLE_PART, SETTLE,
                                servers_most, int(start.memory * LARGEST), int(start.memory * ALL_HELD))
-        self.start = start
+        self.start, chance = start, Random(start.seed).random
         port.discovery = self.discovery = Discovery(
-            port, lambda address: Dialling("discovery", address, DISCOVERY_CONNECT, PAUSES, ends, self.fault),
+            port, lambda address: Dialling("discovery", address, DISCOVERY_CONNECT, list_pauses(start.terms), chance, ends, self.fault),
             start.zones, start.kinds, time() - monotonic(), DISCOVERY_SILENT)
         if start.counter:
             port.counter = Counter(
-                port, lambda address: Dialling("counter", address, COUNTER_CONNECT, PAUSES, ends, self.fault),
+                port, lambda address: Dialling("counter", address, COUNTER_CONNECT, PAUSES, chance, ends, self.fault),
                 start.terms["counter_wait"], COUNTER_LINKS, COUNTER_SILENT)
         self.clients = Clients(
             port, ends, start.terms["routes"], start.terms["plans"], start.terms["gateways"],
--- a/brookhub/protocol/http.py
+++ b/brookhub/protocol/http.py
@@ -9,6 +9,8 @@
 LONGEST_HEAD = 4096  # bytes of a line of the head, or of one that announces a chunk
 LONGEST_LINE = 1024 * 1024  # bytes of one line of the answer: a whole list of some thousand servers
 MOST_HEADERS = 100
+TURNED_AWAY = (b"429", b"503")  # too many ask: the answer is yet to be had, later
+LONGEST_ASKED = 60.0  # s of a Retry-After that is heeded: more would leave the list old for good
 
 
 def request(host: str, path: str) -> bytes:
@@ -21,6 +23,7 @@
     def __init__(self):
         self.step, self.left, self.headers = self.status, 0, 0
         self.chunked, self.length, self.ended = False, None, False
+        self.turned_away, self.asked = False, 0.0  # s that who turned the request away wants to be left alone
         self.rest = bytearray()  # the line under way
 
     def feed(self, ring) -> Iterator[bytes]:
@@ -50,7 +53,8 @@
         if len(words) < 2 or not words[0].startswith(b"HTTP/1."):
             raise Malformed("no HTTP/1.1 answer")
         self.interim = len(words[1]) == 3 and words[1].startswith(b"1") and words[1] != b"101"
-        if words[1] != b"200" and not self.interim:
+        self.turned_away = words[1] in TURNED_AWAY
+        if words[1] != b"200" and not self.interim and not self.turned_away:
             raise Malformed("an answer that is not 200")
         self.step = self.header
 
@@ -62,12 +66,16 @@
         name, value = name.strip().lower(), value.strip().lower()
         if not line and self.interim:  # word that the answer is yet to come
             self.step, self.chunked, self.length = self.status, False, None
+        elif not line and self.turned_away:
+            raise Malformed("turned away", "turned-away")
         elif not line:
             if not self.chunked and self.length is None:
                 raise Malformed("an answer of no stated length")
             self.step, self.left = (self.chunk, 0) if self.chunked else (self.body, self.length)
         elif not colon:
             raise Malformed("a header without a colon")
+        elif name == b"retry-after" and value.isdigit() and len(value) < 5:
+            self.asked = min(float(value), LONGEST_ASKED)
         elif name == b"transfer-encoding":
             self.chunked = value == b"chunked"
         elif name == b"content-length":
--- a/brookhub/routing/connections.py
+++ b/brookhub/routing/connections.py
@@ -22,20 +22,21 @@
     except OSError:
         return "reset"
     except Malformed as bad:
-        return "oversized" if bad.reason == "oversized" else "nonsense"
+        return bad.reason if bad.reason in ("oversized", "turned-away") else "nonsense"
     except Exception as met:
         faults(met)
         return "fault"
 
 
 class Dialling:
-    """One peer's address, kept dialled by a thread: at once, or after longer and longer pauses while no connection
-    brings an answer, until it is `over`."""
+    """One peer's address, kept dialled by a thread: after a pause that doubles while no connection brings an answer,
+    until it is `over`. Each pause is drawn between half of it and one and a half: all gateways lose a peer at the same
+    moment, and would come back to it together, each time. `asked` s that the peer wants to be left alone go before."""
 
     def __init__(self, peer: str, address: tuple[str, int], within: float, pauses: tuple[float, float],
-                 log_end: Callable, faults: Callable):
-        self.peer, self.address, self.within, self.pauses = peer, address, within, pauses
-        self.log_end, self.faults, self.over = log_end, faults, Event()
+                 chance: Callable[[], float], log_end: Callable, faults: Callable):
+        self.peer, self.address, self.within, self.pauses, self.chance = peer, address, within, pauses, chance
+        self.log_end, self.faults, self.over, self.asked = log_end, faults, Event(), 0.0
 
     def run(self, serve: Callable[[object], tuple[str, int]]) -> None:
         """`serve` tells why its connection ended and how many answers it brought."""
@@ -55,4 +56,5 @@
                     reason, answers = "fault", 0
             self.log_end(self.peer, reason, None, monotonic() - began, answers)
             pause = self.pauses[0] if answers else min(longest, 2 * pause)
-            self.over.wait(pause)
+            self.over.wait(max(pause, self.asked) * (0.5 + self.chance()) + 0.5 * self.asked)
+            self.asked = 0.0
--- a/brookhub/routing/discovery.py
+++ b/brookhub/routing/discovery.py
@@ -40,6 +40,7 @@
         stream.flush()
         stream.end(read_to_end(stream.read, took, port.faults))
         stream.close()
+        self.dialling.asked = reader.asked
         return stream.reason, count
 
     # under the port's lock
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -203,7 +203,7 @@
     assert feed(sized, Ring(8192), [b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab\ncd"]) == [b"ab", b"cd"] and sized.ended
 
 
-@pytest.mark.parametrize("data", [b"SMTP\r\n", b"HTTP/1.1 503 Down\r\n", b"HTTP/1.1 200 OK\r\nno colon\r\n", b"HTTP/1.1 200 OK\r\n\r\n",
+@pytest.mark.parametrize("data", [b"SMTP\r\n", b"HTTP/1.1 500 Down\r\n", b"HTTP/1.1 503 Down\r\n\r\n", b"HTTP/1.1 200 OK\r\nno colon\r\n", b"HTTP/1.1 200 OK\r\n\r\n",
                                   b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"x" * 5000,
                                   b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
                                   b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n"])
@@ -212,6 +212,19 @@
         feed(http.Lines(), Ring(16384), [data])
 
 
+@pytest.mark.parametrize("status, header, reason, asked", [
+    (b"503 Service Unavailable", b"Content-Length: 0", "turned-away", 0.0), (b"429 Slow", b"Retry-After: 7", "turned-away", 7.0),
+    (b"503 Busy", b"Retry-After: 99999", "turned-away", 0.0), (b"503 Busy", b"retry-after: 3600", "turned-away", http.LONGEST_ASKED),
+    (b"503 Busy", b"Retry-After: soon", "turned-away", 0.0), (b"500 Down", b"Retry-After: 7", "malformed", 0.0)])
+def test_discovery_that_turns_away_is_told_from_one_that_talks_nonsense(status, header, reason, asked):
+    data = b"HTTP/1.1 " + status + b"\r\n" + header + b"\r\n\r\n"
+    for pieces in ([data], [data[at:at + 1] for at in range(len(data))]):
+        lines = http.Lines()
+        with pytest.raises(resp.Malformed) as met:
+            feed(lines, Ring(8192), pieces)
+        assert (met.value.reason, lines.asked) == (reason, asked)
+
+
 def test_a_line_of_a_watch_has_an_end():
     lines, ring = http.Lines(), Ring(16384)
     feed(lines, ring, [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n"])
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -328,7 +328,7 @@
 
 
 def dialling(address):
-    return Dialling("peer", address, 0.5, (0.05, 1.0), lambda *_: None, lambda met: None)
+    return Dialling("peer", address, 0.5, (0.05, 1.0), lambda: 0.5, lambda *_: None, lambda met: None)
 
 
 def test_who_has_asked_again_is_not_closed_as_idle_and_nobody_is_once_the_end_is_near(port):
@@ -585,3 +585,47 @@
     assert not stream.may_be_whole()
     stream.end("over")
     assert stream.put(b"") and not stream.may_be_whole()
+
+
+def test_gateways_that_lose_discovery_together_do_not_come_back_together():
+    # Guards: 28 restarted gateways asked for lists at the same instants, once a second for good; discovery, which
+    # answers some seven calls a second in turn, had a line of its full 2 s and turned all of them away (700 of 740).
+    from random import Random
+    from brookhub.program.run import list_pauses
+    terms = {"asks_for_servers": True, "gateways": 40, "ask_within": 10.0}
+    first, longest = list_pauses(terms)
+    served, waits, capacity, wait = [], [], 1 / 0.15, 2.0
+    chances, again = [Random(index).random for index in range(40)], []
+    due, free_at = [(0.0, index, first) for index in range(40)], 0.0
+    while due and min(due)[0] < 60.0:
+        at, index, pause = min(due)
+        due.remove((at, index, pause))
+        free_at = max(free_at, at) + 1 / capacity
+        if free_at - at <= wait:
+            served.append(at)
+        else:
+            pause = min(longest, 2 * pause)
+            due.append((at + wait + pause * (0.5 + chances[index]()), index, pause))
+            again.append(at)
+    assert len(served) == 40 and max(served) < 15.0 and len(again) < 60
+    assert list_pauses({**terms, "gateways": 3})[0] < 0.5
+    assert list_pauses({**terms, "gateways": 1000})[0] * 1.5 < 10.0, "asked again in the time to ask in"
+    assert list_pauses({**terms, "asks_for_servers": False}) == (0.05, 1.0)
+
+
+def test_pauses_between_two_dials_differ_by_chance_and_heed_who_turned_away():
+    from random import Random
+    for asked, least, most in ((0.0, 0.05, 0.15), (7.0, 7.0, 14.0)):
+        waited = []
+        for index in range(8):
+            def ended(*what):
+                dialling.asked = asked
+
+            def wait(seconds):
+                waited.append(seconds)
+                dialling.over.set()
+
+            dialling = Dialling("peer", ("127.0.0.1", 1), 0.1, (0.05, 1.0), Random(index).random, ended, lambda met: None)
+            dialling.over.wait = wait
+            dialling.run(lambda sock: ("closed", 0))
+        assert len({round(one, 6) for one in waited}) == 8 and all(least <= one <= most for one in waited)
