Half a ceiling held by the window's count; half of what spilt counted; late give-backs left

A test of the ceiling showed a third: units asked for in one window and given back in the next lowered that one's count.

Change: where a ceiling's settings bear it, half of it is held by own shares, half by the count: a call that the total let in passes while the window's use is a quarter of the burst at most. Half of what spilt is taken off. What was added in a window before is not taken off this one's count.

Rules kept, ceilings too. Tests: forty gateways at seven times the quota with a crowded or emptied counter never pass the ceiling; the busiest gateway passes 7.5 units a second.

--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -7,7 +7,7 @@
 
 from collections import deque
 from itertools import islice, takewhile
-from math import exp, floor
+from math import exp, floor, inf
 
 from .interface import Group, Outcome, Repeat, State
 
@@ -32,6 +32,7 @@
 PART, SEEN, REDRAW = 12, 2.5, 1.0  # servers used at least; s between tries at each, to know it; between looks
 WIDEN, NARROW = 1.07, 0.9  # factors on all tries out for a quick and a slow answer: 4 in 10 may be slow
 GIVEN_UP = 0.25  # of a slow answer that a try without one counts: a third of the answers may be lost
+SPILT = 0.5  # of what spilt from a full store, that others used as it came: the rest was there before they did
 UNSAID = 3.0  # times what is said that is taken to have passed, at most: beyond that it is guesswork
 HOLD = 5.0  # s, about, at most, that a customer told to be without room is left alone: a spike is over
 CROWDED = 2.5  # times the usual delay at its best from which an answer is slow: servers should hold no lines
@@ -72,7 +73,7 @@
 
     def read(self, now):
         level, self.at = self.level + self.rate * (now - self.at), now
-        self.level, self.spilt = min(self.depth, level), self.spilt + max(0.0, level - self.depth)
+        self.level, self.spilt = min(self.depth, level), self.spilt + SPILT * max(0.0, level - self.depth)
         return self.level
 
     def wait(self, now, units):
@@ -83,9 +84,10 @@
     def __init__(self, call, account, now):
         self.call, self.account, self.target_at = call, account, min(now + call.route.target, call.expires)
         self.counted = self.drawn = self.wait = 0.0  # units out of quota and ceiling; s to come back in
+        self.window = None  # whose count has them
         self.loan, self.soft = None, account.plan.beyond_value > account.plan.beyond_cost  # lenders and units
         self.asks_by = 0.0  # until when it waits for its turn to ask the counter
-        self.beyond = self.sent = self.done = self.began = False
+        self.beyond = self.sent = self.done = self.began = self.word = False  # word: the count's total let it in
 
     def may_have_run(self):
         return [one for one in self.call.tries if one.outcome not in NEVER_RAN]
@@ -93,7 +95,7 @@
 
 class Account:  # what this gateway knows of a customer: the quota as told, its share, loans of its room
 
-    def __init__(self, customer, gateways, largest, now, launched):
+    def __init__(self, customer, gateways, largest, now, launched, counted):
         plan, part = customer.plan, 1.0 / gateways
         self.customer, self.plan, self.gateways, self.active = customer, plan, gateways, now
         self.store = Store(plan.rate, plan.burst, plan.burst, now)
@@ -103,6 +105,11 @@
         since, self.part = (now, part) if self.credit else (launched, min(1.0, UNHEARD * part))
         self.share = Store(plan.rate * part, max(plan.burst * part, largest), 0.0, since)
         self.alone = Store(plan.rate * self.part, max(plan.burst * self.part, largest), 0.0, since)
+        # A ceiling is held in two halves: own shares of one, the other by the window's count, which all gateways see. A
+        # window may use half a half's burst, which comes in again within a window: any span touches two more than it fills.
+        joint = plan.ceiling_burst / 4 if counted and gateways > 1 and plan.rate else 0.0
+        self.joint = joint if joint * plan.rate <= plan.ceiling_rate / 2 * plan.burst else 0.0
+        part, self.used = part * (0.5 if self.joint else 1.0), inf
         self.ceiling = Store(plan.ceiling_rate * part, plan.ceiling_burst * part, 0.0, launched)
         self.window, self.total, self.unsaid, self.told_at, self.hold = None, 0.0, 0.0, -FORGET, 0.0
         self.lent, self.out = 0.0, 0
@@ -148,6 +155,7 @@
             return self.next.take(rq)
         self.turn(account)
         inside = account.share.read(now) >= units and now - account.told_at < FRESH
+        inside = inside and (not account.joint or account.ceiling.read(now) >= units)
         held = now < account.hold and (rq.call.repeated or not self.may_ask(0.5))
         if held or account.store.read(now) < units:
             return self.beyond(rq)
@@ -158,6 +166,7 @@
         turn = self.pace.wait(now, 1 + spare * self.pace.depth)
         if not inside and not asks and now + turn < rq.asks_by:  # a moment's crowd passes; word is worth the wait
             return self.port.later(turn + 0.001, lambda: rq.done or self.take(rq))
+        rq.window = account.window
         self.spend(rq, units, not asks)
         if inside:  # pass, and add in the background
             self.next.take(rq)
@@ -183,6 +192,7 @@
             account.hold = now + wait * (0.5 + self.dice.roll())
         if not fits:
             self.spend(rq, -rq.counted, outcome is not Outcome.TIMEOUT)  # or it might be taken off unadded
+        rq.word = fits and outcome is Outcome.OK
         self.next.take(rq) if fits else self.beyond(rq)
 
     def beyond(self, rq):
@@ -216,6 +226,7 @@
                 self.say(account, 0.0)
             self.unheard.add(now, account.unsaid)
             account.window, account.total, account.unsaid, account.store.spilt = floor(at), 0.0, 0.0, 0.0
+            account.used = inf  # until told
             if now - account.active < window:
                 self.port.later((account.window + 1 - at) * window + 0.001, lambda: self.turn(account))
 
@@ -237,7 +248,7 @@
             current = window == account.window
             if outcome is Outcome.OK:
                 self.said.add(now, amount)
-                self.learn(account, total - (account.total if current else before) - amount, None if current else spilt)
+                self.learn(account, total, total - (account.total if current else before) - amount, None if current else spilt)
                 account.total = total if current else account.total
             elif outcome is not Outcome.TIMEOUT and current:  # which may have been added
                 self.owe(account, amount)
@@ -247,13 +258,14 @@
         name = account.customer.id << 31 | window & 0x7FFFFFFF
         self.port.count(name, amount, min(60.0, LIVES * account.plan.burst / account.plan.rate), told)
 
-    def learn(self, account, others, spilt):
+    def learn(self, account, total, others, spilt):
         now, store, share = self.port.now, account.store, account.share
         store.read(now)
         # Below that it is an emptied counter: what this gateway knew of the store still stands.
         others = others if others >= -LOST * self.largest else 0.0
         # While calls are scarce others, too, say only a part of what they pass: as small as this gateway's.
-        others *= min(UNSAID, 1.0 + max(0.0, self.unheard.read(now)) / max(1.0, self.said.read(now)))
+        unsaid = min(UNSAID, 1.0 + max(0.0, self.unheard.read(now)) / max(1.0, self.said.read(now)))
+        others, account.used = others * unsaid, account.used if spilt is not None else total * unsaid
         # They used what came in as well: what spilt here since the last word, or that window's start, was theirs.
         if spilt is None:
             others, store.spilt = max(min(0.0, others), others - store.spilt), max(0.0, store.spilt - max(0.0, others))
@@ -266,7 +278,8 @@
         account.credit = account.most_credit if 2 * store.level > store.depth else 0.0
 
     def ended(self, rq, answer):
-        self.spend(rq, 0.0 if rq.sent else -rq.counted)
+        # What was added in a window before is not taken off this one's count: it would make room for others in it.
+        self.spend(rq, 0.0 if rq.sent else -rq.counted, rq.window == rq.account.window)
         self.before.ended(rq, answer)
 
 
@@ -314,10 +327,11 @@
 
     def take(self, rq):
         account, plan, rq.wait = rq.account, rq.account.plan, 0.0
-        if plan.ceiling_rate > 0:
+        joint, rq.word = rq.word and account.used <= account.joint, False  # it counts in the window that it was told in
+        if plan.ceiling_rate > 0 and not joint:
             rq.wait = account.ceiling.wait(self.port.now, rq.call.units)
         if not rq.wait:
-            rq.drawn = rq.call.units
+            rq.drawn = 0.0 if joint else rq.call.units
             account.ceiling.level -= rq.drawn
             self.next.take(rq)
         elif rq.loan or self.port.now + rq.wait > rq.target_at:
@@ -581,7 +595,8 @@
     def arrived(self, call):
         now, customer = self.port.now, call.customer
         if customer.account not in self.accounts:
-            customer.account = Account(customer, call.gateways, self.quota.largest, now, self.launched)
+            customer.account = Account(customer, call.gateways, self.quota.largest, now, self.launched,
+                                       self.quota.counter_wait > 0)
         self.touch(customer.account)
         self.intake.take(Rq(call, customer.account, now))
 
