The counter's pace grows alike for few and many limiters; joint ceilings only where thin

Ruled out: discovery's pauses (its agent answers there), the servers (delays alike).

At fault: a quick answer won a tenth of the calls wanted, and answers come in proportion to them, too: four limiters with a hundred wanted each won ten times what they had within a second, crowded the counter and fell back, again and again. Half of a ceiling by the count helps only where an Nth is less than a call; with four limiters the own share was ample.

Change: a quick answer wins 1.5 calls a second, so all together win as much a second whatever their number; a ceiling is held in two halves only where an Nth of the quota's burst is less than the largest call.

--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -21,7 +21,8 @@
 IDLE = 2.0  # idle time in horizons: the design wants more than one, so a returner's freeze outlives any loan
 LOST = 2.0  # largest API calls by which a total may shrink (give-backs) before the counter counts as emptied
 PACE, PACE_LEAST = 150.0, 0.2  # counter calls a second at first, of all gateways; share of those wanted kept
-QUICKER, SLOWER = 0.1, 0.8  # share of those wanted won by a quick answer; kept after a late one, once a wait
+QUICKER = 1.5  # calls a second won by a quick answer: all together win so many times them a second, few or many
+SLOWER = 0.8  # share kept after a late answer, once a wait
 AT_ONCE = 2.0  # counter calls at one stroke at least: calls that come together
 LATE = 0.4  # share of the counter's wait from which an answer counts as late: its line grows
 OUTCOMES, FAILING = 8, 0.5  # last outcomes, few, that judge a server; share of successes under which it rests
@@ -107,7 +108,7 @@
         self.alone = Store(plan.rate * self.part, max(plan.burst * self.part, largest), 0.0, since)
         # A ceiling is held in two halves: own shares of one, the other by the window's count, which all gateways see. A
         # window may use half a half's burst, which comes in again within a window: any span touches two more than it fills.
-        joint = plan.ceiling_burst / 4 if counted and gateways > 1 and plan.rate else 0.0
+        joint = plan.ceiling_burst / 4 if counted and self.credit else 0.0  # only where an Nth is thin
         self.joint = joint if joint * plan.rate <= plan.ceiling_rate / 2 * plan.burst else 0.0
         part, self.used = part * (0.5 if self.joint else 1.0), inf
         self.ceiling = Store(plan.ceiling_rate * part, plan.ceiling_burst * part, 0.0, launched)
@@ -241,7 +242,7 @@
             wanted = max(1.0, self.wanted.read(now) / min(MEMORY, max(1.0, now - self.began)))
             late = outcome is Outcome.FULL or took >= LATE * self.counter_wait  # not where a connection broke
             if outcome is Outcome.OK and not late and pace.read(now) < pace.depth / 2:  # what is not used is not won
-                pace.rate += QUICKER * wanted
+                pace.rate += QUICKER
             elif late and now >= self.slowed:  # once for each wait, from what was used: less of more is no less
                 pace.rate = max(PACE_LEAST * wanted, min(pace.rate, 2 * wanted) * SLOWER)
                 self.slowed = now + self.counter_wait
