--- /dev/null
+++ b/brookhub/stand_ins/counter.py
@@ -0,0 +1,60 @@
+"""A shared counter on loopback: ADDGET NAME AMOUNT LIVES over RESP2, with fault controls."""
+
+from __future__ import annotations
+
+import threading
+import time
+from time import monotonic
+
+from ..emulator.world import Keeper
+from .base import StandIn, read_value
+
+
+class CounterStandIn(StandIn):
+    """A counter. `mode`: ok, busy, silent, nonsense or close; `delay` s before each answer.
+
+    `split()` gives the limiters (by their address, `side`) different keepers; `wipe()` empties all."""
+
+    def __init__(self, at: tuple[str, int] = ("127.0.0.1", 0), delay: float = 0.0):
+        self.mode, self.asked, self.delay, self.lock = "ok", 0, delay, threading.Lock()
+        self.keepers, self.side = [Keeper()], lambda limiter: 0
+        super().__init__(at)
+
+    @property
+    def totals(self) -> dict:
+        """All totals of the first keeper (units), by name as sent, dead ones included."""
+        return {name: held[0] for name, held in self.keepers[0].counts.items()}
+
+    def wipe(self) -> None:
+        with self.lock:
+            for keeper in self.keepers:
+                keeper.counts.clear()
+
+    def split(self, side) -> None:
+        """From now on limiters with `side(address)` 1 see a second, empty keeper; `heal` drops it."""
+        with self.lock:
+            self.keepers, self.side = [self.keepers[0], Keeper()], side
+
+    def heal(self) -> None:
+        with self.lock:
+            self.keepers, self.side = [self.keepers[0]], lambda limiter: 0
+
+    def serve(self, conn, lines):
+        limiter = conn.getpeername()[0]
+        while True:
+            words = read_value(lines)
+            if self.mode == "close":
+                return
+            if words[0] == b"PING":
+                answer = b"+PONG\r\n"
+            else:
+                with self.lock:
+                    self.asked += 1
+                    keeper = self.keepers[self.side(limiter)]
+                    total = keeper.add(words[1], float(words[2]), float(words[3]) / 1000, monotonic())
+                answer = {"ok": b"$%d\r\n%b\r\n" % (len(b"%.7g" % total), b"%.7g" % total), "busy": b"-BUSY\r\n",
+                          "nonsense": b"$3\r\nfoo\r\n", "silent": b""}.get(self.mode, b"")
+            if self.delay:
+                time.sleep(self.delay)
+            if self.mode != "silent":
+                conn.sendall(answer)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,14 +4,13 @@
 import json
 import os
 import socket
-import struct
 import subprocess
 import sys
-import threading
 import time
 
 from brookhub.interface import ApiCall, Customer, Group, Outcome, Plan, Repeat, Route, Server, State, UpstreamTry
 from brookhub.policy import NEVER_RAN, Gateway
+from brookhub.stand_ins import CounterStandIn, DiscoveryStandIn, ServerStandIn, StandIn, host, read_value
 
 
 class World:
@@ -124,141 +123,6 @@
 # Stand-ins on loopback for the integration tests, and the program itself.
 
 
-class StandIn:
-    """Listens on loopback; `serve` has each connection to itself, in a thread, and may end it as it likes."""
-
-    def __init__(self):
-        self.sock = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.address, self.open = "127.0.0.1:%d" % self.sock.getsockname()[1], set()
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        with contextlib.suppress(OSError):
-            while True:
-                conn = self.sock.accept()[0]
-                self.open.add(conn)
-                threading.Thread(target=self.hold, args=(conn,), daemon=True).start()
-
-    def hold(self, conn):
-        with contextlib.suppress(OSError, ValueError), conn, conn.makefile("rb") as lines:
-            self.serve(conn, lines)
-        self.open.discard(conn)
-
-    def break_all(self):
-        for conn in list(self.open):
-            with contextlib.suppress(OSError):
-                conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                conn.shutdown(socket.SHUT_RDWR)
-
-    def close(self):
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)  # wakes the accept that waits, which would hold it open
-        self.sock.close()
-        self.break_all()
-
-
-def read_value(lines):
-    """One RESP2 value; raises ValueError where the other side ended."""
-    line = lines.readline()
-    if not line.endswith(b"\r\n"):
-        raise ValueError("ended")
-    kind, rest = line[:1], line[1:-2]
-    if kind == b"*":
-        return [read_value(lines) for _ in range(int(rest))]
-    if kind == b"$":
-        return None if rest == b"-1" else lines.read(int(rest) + 2)[:-2]
-    return line[:-2]
-
-
-class ServerStandIn(StandIn):
-    """A back-end server. `how` says, for each command in turn, what becomes of it; then all are answered."""
-
-    def __init__(self, how=()):
-        self.how, self.asked, self.busy, self.most, self.dialled = list(how), [], 0, 0, 0
-        self.lock = threading.Lock()
-        super().__init__()
-
-    def serve(self, conn, lines):
-        self.dialled += 1
-        while True:
-            words = read_value(lines)
-            with self.lock:
-                self.asked.append(words)
-                how = self.how.pop(0) if self.how else b"*3\r\n$2\r\nok\r\n$6\r\ncost=1\r\n$-1\r\n"
-            if isinstance(how, bytes):
-                conn.sendall(how)
-            elif how == "close":
-                return
-            elif how == "half":
-                return conn.sendall(b"*3\r\n$10\r\nha")
-            elif how == "silent":
-                lines.read()
-                return
-            else:  # a time to take
-                time.sleep(how)
-                conn.sendall(b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(words[2]), words[2]))
-
-
-class CounterStandIn(StandIn):
-    """A counter. `mode`: ok, busy, silent, nonsense or close."""
-
-    def __init__(self):
-        self.mode, self.totals, self.asked = "ok", {}, 0
-        super().__init__()
-
-    def serve(self, conn, lines):
-        while True:
-            words = read_value(lines)
-            if self.mode == "close":
-                return
-            if words[0] == b"PING":
-                answer = b"+PONG\r\n"
-            else:
-                self.asked += 1
-                total = self.totals[words[1]] = self.totals.get(words[1], 0.0) + float(words[2])
-                answer = {"ok": b"$%d\r\n%b\r\n" % (len(b"%g" % total), b"%g" % total), "busy": b"-BUSY\r\n",
-                          "nonsense": b"$3\r\nfoo\r\n", "silent": b""}.get(self.mode, b"")
-            if self.mode != "silent":
-                conn.sendall(answer)
-
-
-class DiscoveryStandIn(StandIn):
-    """Discovery. `tell` sends text as a chunk to all that watch; a watch begins with the whole list."""
-
-    def __init__(self, hosts):
-        self.hosts, self.seq, self.asked, self.quiet = hosts, 41, [], False
-        super().__init__()
-
-    def whole(self):
-        return json.dumps({"seq": self.seq, "whole": True, "hosts": self.hosts})
-
-    def serve(self, conn, lines):
-        self.asked.append(lines.readline())
-        while lines.readline().strip():
-            pass
-        conn.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        self.send(conn, self.whole())
-        while not lines.closed:
-            time.sleep(0.5)
-            if not self.quiet:
-                self.send(conn, "")
-
-    def send(self, conn, text):
-        data = text.encode() + b"\n"
-        conn.sendall(b"%x\r\n%b\r\n" % (len(data), data))
-
-    def tell(self, *hosts, text=None):
-        self.seq += 1
-        for conn in list(self.open):
-            with contextlib.suppress(OSError):
-                self.send(conn, text or json.dumps({"seq": self.seq, "whole": False, "hosts": hosts}))
-
-
-def host(name, address, health="Ready", born=0):
-    return {"host": name, "dial": address, "site": "a", "class": "m", "block": 1, "health": health, "share": 1.0,
-            "born_ms": born}
-
-
 SETTINGS = {
     "areas": ["a", "b"], "kinds": ["m"], "balancers": 1, "slot_no": 0, "zone": 0, "membership_mode": "pushed",
     "classes": [{"name": "look", "slo_s": 1.0, "hard_limit_s": 2.0, "semantics": "read_like"},
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,165 @@
+"""The relays: each condition is caused on loopback, and cleared again."""
+
+import socket
+import time
+
+import pytest
+
+from brookhub.links import Relays, Way
+from brookhub.stand_ins import ServerStandIn, StandIn
+from helpers import api_call, read_value, until
+
+
+@pytest.fixture
+def relays():
+    made = Relays(seed=7)
+    yield made
+    made.close()
+
+
+class Echo(StandIn):
+    def serve(self, conn, lines):
+        while data := conn.recv(65536):
+            conn.sendall(data)
+
+
+@pytest.fixture
+def link(relays):
+    echo = Echo()
+    yield relays.tcp("echo", echo.at, source="127.0.9.1")
+    echo.close()
+
+
+def dial(link, timeout=3.0):
+    return socket.create_connection(link.at, timeout)
+
+
+def echoed(sock, data=b"hello"):
+    sock.sendall(data)
+    got = b""
+    while len(got) < len(data):
+        got += sock.recv(65536)
+    return got
+
+
+def test_bytes_pass_both_ways_whole_and_the_target_sees_the_link_s_source(relays):
+    server = ServerStandIn()
+    link = relays.tcp("server", server.at, source="127.0.9.7")
+    with dial(link) as sock, sock.makefile("rb") as lines:
+        sock.sendall(api_call(1))
+        assert read_value(lines)[0] == b"ok"
+        assert [conn.getpeername()[0] for conn in server.open] == ["127.0.9.7"]
+    assert until(lambda: not server.open and not link.pairs)  # an end is passed on, and nothing is kept
+    big = bytes(range(256)) * 8000
+    echo = Echo()
+    with dial(relays.tcp("big", echo.at)) as sock:
+        sock.settimeout(0.2)
+        sent, got = 0, b""
+        while len(got) < len(big):
+            if sent < len(big):
+                sent += sock.send(big[sent:sent + 50000])
+            got += sock.recv(65536)
+    assert got == big
+    server.close()
+    echo.close()
+
+
+@pytest.mark.parametrize("way", ["forward", "back"])
+def test_a_cut_is_silent_holds_what_came_and_lets_no_dial_through_until_it_is_cleared(link, way):
+    with dial(link) as sock:
+        assert echoed(sock) == b"hello"
+        link.set(way, cut=True)
+        sock.sendall(b"held")
+        sock.settimeout(0.3)
+        with pytest.raises(TimeoutError):
+            sock.recv(10)
+        with pytest.raises(OSError):
+            socket.create_connection(link.at, 0.3)
+        link.clear()
+        sock.settimeout(3.0)
+        assert sock.recv(10) == b"held"
+    with dial(link) as sock:
+        assert echoed(sock) == b"hello"
+
+
+def test_refuse_and_reset(link):
+    link.set(refuse=True)
+    with pytest.raises(ConnectionRefusedError):
+        dial(link)
+    link.clear()
+    with dial(link) as sock:
+        assert echoed(sock) == b"hello"
+        link.set("forward", reset=1.0)  # under the next request: it was passed on, then both ends break
+        with pytest.raises(ConnectionResetError):
+            echoed(sock)
+    link.clear()
+    with dial(link) as one:
+        assert echoed(one) == b"hello"
+        link.reset_all()
+        with pytest.raises(ConnectionResetError):
+            one.recv(10)
+
+
+def test_delay_and_a_slow_link_take_their_time(link):
+    with dial(link) as sock:
+        link.set("both", delay=0.1, spread=0.05)
+        began = time.monotonic()
+        assert echoed(sock) == b"hello" and 0.2 <= time.monotonic() - began < 1.0
+        link.clear()
+        link.set("forward", rate=20_000)
+        began = time.monotonic()
+        assert echoed(sock, b"x" * 10_000) and 0.45 <= time.monotonic() - began < 2.0
+
+
+def test_a_wrong_word_is_told_to_who_said_it(link):
+    with pytest.raises(ValueError, match="no condition 'lose'"):
+        link.set("forward", lose=1.0)
+    with pytest.raises(ValueError, match="loss is a share"):
+        link.set("forward", loss=2.0)
+
+
+def udp(name):
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.bind(("127.0.0.1", 0))
+    sock.settimeout(0.3)
+    return sock
+
+
+def drain(sock):
+    got = []
+    try:
+        while True:
+            got.append(sock.recvfrom(2048))
+    except TimeoutError:
+        return got
+
+
+def test_the_mesh_shows_each_member_the_address_it_knows_the_other_by_and_loses_doubles_and_cuts(relays):
+    a, b, stranger = udp("a"), udp("b"), udp("s")
+    mesh = relays.udp_mesh({"a": a.getsockname(), "b": b.getsockname()})
+    to_b = mesh.sockets["a", "b"].getsockname()
+    a.sendto(b"hi", to_b)
+    assert b.recvfrom(100) == (b"hi", mesh.sockets["b", "a"].getsockname())
+    stranger.sendto(b"no", to_b)
+    mesh.split({"a"})
+    a.sendto(b"lost", to_b)
+    assert drain(b) == [] and mesh.strange == 1 and mesh.ways["a", "b"].dropped == 1
+    mesh.clear()
+    mesh.every(loss=0.3, duplicate=0.3, reorder=0.3)
+    for n in range(100):
+        a.sendto(b"%d" % n, to_b)
+        time.sleep(0.001)
+    got = [int(data) for data, _ in drain(b)]
+    way = mesh.ways["a", "b"]
+    assert len(got) == way.packets - 1 - way.dropped + way.doubled and 50 < len(set(got)) < 90
+    assert got != sorted(got) and way.doubled > 0
+    for sock in (a, b, stranger):
+        sock.close()
+
+
+def test_one_seed_makes_the_same_choices():
+    def fates(seed):
+        way = Way(seed)
+        way.set(loss=0.2, duplicate=0.1, reorder=0.1, delay=0.01, spread=0.02)
+        return [way.packet(100, float(n)) for n in range(200)]
+    assert fates("1/a") == fates("1/a") != fates("2/a")
