--- a/brookhub/cli.py
+++ b/brookhub/cli.py
@@ -139,6 +139,65 @@
     click.echo(plotting.plot(Path(folder), title or Path(folder).name, Path(png) if png else None))
 
 
+@lab.command()
+@click.argument("experiment", type=click.Path(dir_okay=False))
+@click.option("--seed", "seeds", type=int, multiple=True, help="instead of the experiment's; may be given often")
+@click.option("--out", type=click.Path(file_okay=False), help="folder for logs and results (default: lab/NAME)")
+def processes(experiment: str, seeds: tuple[int, ...], out: str | None) -> None:
+    """Play an experiment on processes of the program over loopback, with its faults, and judge it."""
+    from .lab import sweep as sweeping
+    from .lab.processes import LabError, ProcessLab
+    try:
+        spec = load(experiment, Experiment)
+    except ConfigError as broken:
+        refuse(broken)
+    folder, bad = Path(out or f"lab/{spec.name}-processes"), False
+    folder.mkdir(parents=True, exist_ok=True)
+    for seed in seeds or (spec.seed,):
+        try:
+            with ProcessLab(spec, folder / f"seed-{seed}", seed) as played:
+                with click.progressbar(length=1000, label=f"seed {seed}", file=sys.stderr) as bar:
+                    outcome = played.play(lambda done: bar.update(int(done * 1000) - bar.pos))
+        except LabError as met:
+            click.echo(f"brookhub: {met}", err=True)
+            sys.exit(2)
+        row = {"key": json.dumps({"params": {}, "seed": seed}), "seed": seed, "params": {}, "metrics": outcome.metrics(),
+               "histogram": outcome.result.latency.encode().decode()}
+        with open(folder / sweeping.RESULTS, "a") as sink:
+            sink.write(json.dumps(row, sort_keys=True) + "\n")
+        click.echo(json.dumps(outcome.metrics(), sort_keys=True))
+        bad = bad or bool(outcome.result.broken)
+    sys.exit(1 if bad else 0)
+
+
+@lab.command()
+@click.argument("experiment", type=click.Path(dir_okay=False))
+@click.option("--seed", "seeds", type=int, multiple=True, help="instead of the experiment's; may be given often")
+@click.option("--out", type=click.Path(file_okay=False), help="folder for logs and results (default: lab/NAME-compare)")
+def compare(experiment: str, seeds: tuple[int, ...], out: str | None) -> None:
+    """Play an experiment in the emulator and on processes; exit 1 where a share is more than 5% apart."""
+    from .lab.compare import compare as comparing
+    from .lab.processes import LabError
+    try:
+        spec = load(experiment, Experiment)
+    except ConfigError as broken:
+        refuse(broken)
+    folder = Path(out or f"lab/{spec.name}-compare")
+    try:
+        with click.progressbar(length=1000, label=spec.name, file=sys.stderr) as bar:
+            rows = comparing(spec, folder, list(seeds or (spec.seed,)), lambda done: bar.update(int(done * 1000) - bar.pos))
+    except LabError as met:
+        click.echo(f"brookhub: {met}", err=True)
+        sys.exit(2)
+    (folder / "compare.json").write_text(json.dumps(rows, indent=1, sort_keys=True))
+    for row in rows:
+        click.echo(f"seed {row['seed']}: " + ", ".join(
+            f"{share} emulator {row['emulator'][share]:.3f} processes {row['processes'][share]:.3f}"
+            for share in row["apart"]) + f"; p50 {row['emulator']['p50_ms']:.0f} and {row['processes']['p50_ms']:.0f} ms"
+            + ("" if row["within"] else "  OVER 5%"))
+    sys.exit(0 if all(row["within"] for row in rows) else 1)
+
+
 @main.command()
 def version() -> None:
     """The program's version."""
--- a/brookhub/config/models.py
+++ b/brookhub/config/models.py
@@ -63,6 +63,14 @@
     wait_s: float = Field(0.05, gt=0)
 
 
+class MembershipSpec(Strict):
+    """Whether the limiters know who is there by talking to each other, and how."""
+
+    on: bool = False
+    protocol: Literal["lifeguard", "swim", "heartbeat"] = Field("lifeguard", description="swim, heartbeat: baselines")
+    period_s: float = Field(0.5, gt=0, le=10, description="between two probes of a member")
+
+
 class FleetSpec(Strict):
     """The fleet: limiters, zones, servers, counter and the decision module's terms."""
 
@@ -70,6 +78,7 @@
     zones: int = Field(3, ge=1)
     servers: ServerSpec = ServerSpec()
     counter: CounterSpec = CounterSpec()
+    membership: MembershipSpec = MembershipSpec()
     routes: list[RouteSpec] = Field(min_length=1)
     plans: list[PlanSpec] = Field(min_length=1)
     max_tries: int = Field(3, ge=1)
@@ -102,13 +111,16 @@
     """One scripted fault at `at_s`, lasting `for_s` where that applies."""
 
     at_s: float = Field(ge=0)
-    action: Literal["kill_limiters", "restart_limiters", "drain_servers", "replace_servers", "zone_lost",
+    action: Literal["kill_limiters", "restart_limiters", "term_limiters", "stall_limiters", "split_limiters",
+                    "cut_peers", "lose_packets", "cut_links", "drain_servers", "replace_servers", "zone_lost",
                     "counter_down", "counter_wipe", "counter_split", "lose_answers", "slow_servers",
-                    "failing_servers"]
+                    "failing_servers", "reset_links", "delay_links"]
     share: float = Field(0.1, ge=0, le=1)
     zone: int = Field(0, ge=0)
     for_s: float = Field(5.0, ge=0)
     factor: float = Field(5.0, ge=1)
+    way: Literal["both", "forward", "back"] = Field("both", description="of links: forward from limiter to server")
+    delay_s: float = Field(0.05, ge=0, description="delay_links: of each direction named")
 
 
 class Axis(Strict):
@@ -131,6 +143,7 @@
 
     name: str
     duration_s: float = Field(60.0, gt=0)
+    settle_s: float = Field(0.0, ge=0, description="from the start, not counted in the shares that are compared")
     seed: int = 1
     strict: bool = Field(False, description="stop at the first broken rule, with its trail")
     fleet: FleetSpec
--- a/brookhub/emulator/fleet.py
+++ b/brookhub/emulator/fleet.py
@@ -141,6 +141,7 @@
         self.answered: dict[int, bool] = {}
         self.started: dict[int, float] = {}
         self.ident = 0
+        self.early: set[int] = set()  # calls of the time before settle_s: their answers are not counted
 
     # building
 
@@ -193,7 +194,7 @@
         if call.id in self.started:
             self.referee.note("leave", seat.index, call.id)
             self.started.pop(call.id)
-            self.result.left += 1
+            self.result.left += call.id not in self.early
             seat.gateway.client_left(call)
 
     # final answers
@@ -207,6 +208,10 @@
         began = self.started.pop(call.id, None)
         if began is None:
             return  # the client left before: the answer finds no one
+        if call.id in self.early:
+            if how == "proxied":
+                call.who.proxied(now, call.units)
+            return
         result = self.result
         result.tries += len(call.tries)
         if how == "proxied":
@@ -220,8 +225,12 @@
         else:
             result.errored += 1
 
+    def settled(self) -> None:
+        """The run counts from now on."""
+        self.result, self.early = Result(), set(self.started)
+
     def lost(self, call: ApiCall) -> None:
-        if self.started.pop(call.id, None) is not None:
+        if self.started.pop(call.id, None) is not None and call.id not in self.early:
             self.result.lost += 1
 
     # faults
@@ -304,6 +313,8 @@
         for fault in self.experiment.faults:
             self.schedule(fault)
         self.engine.after(self.rng.expovariate(self.rate), self.arrival)
+        if self.experiment.settle_s:
+            self.engine.at(self.experiment.settle_s, self.settled)
         end = self.experiment.duration_s
         step = 1.0
         at = 0.0
--- a/brookhub/stand_ins/server.py
+++ b/brookhub/stand_ins/server.py
@@ -113,7 +113,8 @@
                 how = "turned away"
             fell = model.pushed_over(now)
             one.how, one.ended = how, now
-        one.conn.sendall(b"-BUSY\r\n")
+        with contextlib.suppress(OSError):  # who gave up at once pushes it over all the same
+            one.conn.sendall(b"-BUSY\r\n")
         if fell:
             with self.lock:
                 self.fall()
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,167 @@
+"""The process lab: several processes of the program on loopback, faults between them, and a judge that catches.
+
+Each run here takes a few seconds; long ones are `brookhub lab processes` (docs/process-lab.md)."""
+
+import contextlib
+import os
+import random
+import socket
+import threading
+import time
+
+import pytest
+
+from brookhub.config import Experiment
+from brookhub.lab.judge import judge
+from brookhub.lab.load import Load
+from brookhub.lab.processes import LabError, ProcessLab
+from brookhub.protocol import resp
+from brookhub.stand_ins import ModelServer, StandIn, Timers, read_value
+from brookhub.emulator.world import ServerModel
+from brookhub.interface import State
+from helpers import until
+
+
+def experiment(limiters=4, servers=6, duration=4.0, faults=(), rate=40.0, membership=False, **more):
+    """A small fleet: two routes, one plan with room for all calls."""
+    return Experiment.model_validate({
+        "name": "small", "duration_s": duration, "faults": list(faults), **more,
+        "fleet": {"limiters": limiters, "membership": {"on": membership, "period_s": 0.2},
+                  "servers": {"count": servers, "places": 4, "service_s": 0.02, "warm_after_s": 2.0},
+                  "counter": {"wait_s": 0.2},
+                  "routes": [{"name": "look", "target_s": 0.5, "client_timeout_s": 1.0, "share": 3},
+                             {"name": "once", "target_s": 0.5, "client_timeout_s": 1.0, "repeat": "non_idempotent"}],
+                  "plans": [{"name": "wide", "rate": 200, "burst": 400, "customers": 4, "calls_per_s": rate / 4}]}})
+
+
+# the judge, on traffic of limiters that do wrong
+
+
+class Rogue(StandIn):
+    """A limiter that serves each call right but in one way. Talks to the servers itself."""
+
+    def __init__(self, wrong, servers):
+        self.wrong, self.servers, self.calls = wrong, servers, 0
+        super().__init__()
+
+    def ask(self, server, words):
+        with socket.create_connection(server.at, 2.0) as sock, sock.makefile("rb") as lines:
+            sock.sendall(resp.command(*words))
+            return read_value(lines)
+
+    def serve(self, conn, lines):
+        while True:
+            words = read_value(lines)
+            self.calls += 1
+            if self.wrong == "lost" and self.calls in (5, 6):  # the client asks once more on a new connection
+                return
+            self.ask(self.servers[0], words)
+            if self.wrong == "two effects" and words[0] == b"CALL.POST":
+                self.ask(self.servers[1], words)
+            if self.wrong == "after the grace":
+                self.servers[0].model.state = State.DRAINING
+                self.servers[0].model.drained_at = self.servers[0].model.drained_at or time.monotonic()
+            if self.wrong == "late":
+                time.sleep(1.6)
+            conn.sendall(b"$2\r\nok\r\n" * (2 if self.wrong == "twice" else 1))
+
+
+@pytest.mark.parametrize("wrong, rule, text", [
+    (None, None, ""), ("twice", 1, "answered 2 times"), ("lost", 1, "lost by n0"), ("late", 1, "after its client timeout"),
+    ("after the grace", 3, "drained"), ("two effects", 2, "may have run it")])
+def test_the_judge_catches_what_a_limiter_does_wrong_and_nothing_else(wrong, rule, text):
+    timers, seen = Timers(), []
+    servers = [ModelServer(ServerModel(n, 0, 0, 50, 0, 0.002, 1.0, 0.0, 3.0, 1.0), timers, random.Random(n), seen)
+               for n in range(2)]
+    rogue = Rogue(wrong, servers)
+    spec = experiment(limiters=1, duration=1.0, rate=40, load={"give_up_share": 0.0})
+    spec = spec if wrong != "after the grace" else spec.model_copy(update={"fleet": spec.fleet.model_copy(
+        update={"grace_s": 0.1, "list_delay_s": 0.05})})
+    load = Load(spec, [rogue.at], seed=1)
+    began = time.monotonic()
+    load.run(1.0)
+    verdict = judge(spec, load.asked, seen, [], 0, {0: (0, 0), 1: (1, 0)}, began)
+    assert load.asked and set(verdict.counts()) == ({rule} if rule else set())
+    assert text in (verdict.first() or "")
+    for one in (rogue, *servers):
+        one.close()
+    timers.close()
+
+
+# processes of the program
+
+
+def play(tmp_path, spec, seed=1):
+    with ProcessLab(spec, tmp_path, seed) as lab:
+        outcome = lab.play()
+        pids = [one.process.pid for one in lab.limiters]
+        faults = [line for one in lab.limiters for line in one.lines() if line["event"] == "fault"]
+    assert not faults, faults[0]
+    assert all(not os.path.exists(f"/proc/{pid}") for pid in pids)  # all that it started has ended
+    return outcome
+
+
+def test_four_processes_serve_with_no_rule_broken_through_kills_stalls_and_hurt_links(tmp_path):
+    outcome = play(tmp_path, experiment(duration=6.0, faults=[
+        {"at_s": 0.5, "action": "restart_limiters", "share": 0.25},
+        {"at_s": 1.0, "action": "cut_links", "share": 0.2, "for_s": 1.0, "way": "back"},
+        {"at_s": 2.5, "action": "reset_links", "share": 0.1, "for_s": 0.5},
+        {"at_s": 3.0, "action": "replace_servers", "share": 0.3, "for_s": 1.0},
+        {"at_s": 3.5, "action": "stall_limiters", "share": 0.25, "for_s": 1.0},
+        {"at_s": 4.0, "action": "counter_down", "for_s": 0.5}]))
+    result = outcome.result
+    assert not result.broken, result.first_break
+    assert result.calls > 150 and result.proxied > 0.8 * (result.calls - outcome.verdict.excused)
+
+
+def test_a_planned_end_of_every_limiter_in_turn_loses_no_call(tmp_path):
+    outcome = play(tmp_path, experiment(limiters=3, duration=4.0, faults=[
+        {"at_s": 0.5, "action": "term_limiters", "share": 0.3}, {"at_s": 2.0, "action": "term_limiters", "share": 0.3}]))
+    assert not outcome.result.broken, outcome.result.first_break
+    assert outcome.result.lost == 0 and outcome.verdict.excused == 0
+
+
+def test_what_the_lab_cannot_play_is_told_in_one_line(tmp_path):
+    with pytest.raises(LabError, match="17 limiters: the process lab plays 1 to 16"):
+        ProcessLab(experiment(limiters=17), tmp_path)
+    with ProcessLab(experiment(limiters=1), tmp_path) as lab:
+        with pytest.raises(LabError, match="no membership, so no peer links"):
+            lab.fault(experiment(faults=[{"at_s": 0, "action": "split_limiters"}]).faults[0])
+        with pytest.raises(LabError, match="lose_answers: not played on processes"):
+            lab.fault(experiment(faults=[{"at_s": 0, "action": "lose_answers"}]).faults[0])
+
+
+def test_a_model_server_keeps_its_places_its_queue_and_the_rule_of_cold_servers():
+    timers, seen = Timers(), []
+    model = ServerModel(1, 0, 0, 2, 1, 0.2, 0.5, 5.0, 3.0, 0.3, up_since=-100.0)
+    server = ModelServer(model, timers, random.Random(1), seen)
+    model.mode = "silent"
+
+    def ask(n):
+        sock = socket.create_connection(server.at, 2.0)
+        sock.sendall(resp.command(b"CALL.GET", b"%016x" % 1, b"%016x" % n, b"c=look,t=wide,d=900"))
+        return sock
+
+    held = [ask(n) for n in range(3)]
+    assert until(lambda: len(seen) == 3)
+    with ask(3) as fourth:  # two places, one in the queue, the next is turned away
+        assert fourth.recv(100) == b"-BUSY\r\n"
+    held[0].close()  # given up: its place comes free, who waits begins
+    assert until(lambda: sum(one.ran for one in seen) == 3 and seen[0].how == "abandoned")
+    for one in held:
+        one.close()
+    model.mode, model.up_since = "ok", time.monotonic()  # cold: 5 calls/s of capacity at first, falls beyond 15 a second
+
+    def push(n):
+        with contextlib.suppress(OSError):  # once it fell it refuses
+            ask(n).close()
+
+    rush = [threading.Thread(target=push, args=(n,)) for n in range(10, 40)]
+    for one in rush:
+        one.start()
+    assert until(lambda: model.falls == 1)
+    with pytest.raises(OSError):
+        ask(50)
+    assert until(lambda: server.sock.fileno() >= 0, 1.0)  # back after the model's time
+    server.close()
+    timers.close()
