Membership: SWIM with Lifeguard's doubts, its UDP driver, fleet told to the decisions

Need: every joint bound divided by a number of gateways read once from the settings, whoever is there.

brookhub/membership: probes in rounds, indirect probes, suspicion shortened by confirmation, incarnations, piggybacked news, exchanges of tables, a member that slept doubts itself; msgspec messages of 1,200 bytes at most, checked. Its driver in routing/peers.py, wired in program/run.py; off unless the start file names peers and the settings allow it. The decisions hear one event, fleet_told: joint parts are divided by all not known to have left, never by suspicion.

A process that was stopped (SIGSTOP for 5 s, seen on processes: 18 calls lost after waking, others answered late by seconds) now ends the connections of calls whose time is over, by the system's word of when their bytes came (clients.py woken, Slot.answer), and answers nothing more than 0.5 s late.

--- a/brookhub/cli.py
+++ b/brookhub/cli.py
@@ -13,7 +13,7 @@
 
 import click
 
-from .config import ConfigError, Experiment, GatewayFile, load
+from .config import ConfigError, Experiment, GatewayFile, MembershipFile, load
 from .program import log
 
 DEFAULT = "limiters"  # the embedded experiment of `brookhub emulate` without a file
@@ -52,14 +52,20 @@
 
 @main.command("check-config")
 @click.argument("path", type=click.Path(dir_okay=False))
-@click.option("--kind", type=click.Choice(["auto", "experiment", "gateway"]), default="auto", show_default=True)
+@click.option("--kind", type=click.Choice(["auto", "experiment", "gateway", "membership"]), default="auto", show_default=True)
 def check_config(path: str, kind: str) -> None:
     """Check a configuration file; one line naming key and line for the first fault, exit 2."""
     if kind == "auto":
-        kind = "experiment" if "[fleet" in Path(path).read_text(errors="replace") else "gateway"
+        try:
+            text = Path(path).read_text(errors="replace")
+        except OSError as broken:
+            refuse(ConfigError(path, "", 0, broken.strerror or str(broken)))
+        kind = "experiment" if "[fleet" in text else "membership" if "[[peers]]" in text else "gateway"
     try:
         if kind == "experiment":
             load(path, Experiment)
+        elif kind == "membership":
+            load(path, MembershipFile)
         elif path.endswith(".json"):
             from .program import startfile
             startfile.read({"NODE_CONFIG": path})
@@ -198,6 +204,23 @@
     sys.exit(0 if all(row["within"] for row in rows) else 1)
 
 
+@lab.command()
+@click.option("--out", type=click.Path(file_okay=False), default="lab/membership", show_default=True)
+@click.option("--seed", "seeds", type=int, multiple=True, help="may be given often (default: 1 to 6)")
+@click.option("--hour", type=float, default=600.0, show_default=True, help="simulated s of each long run, one a seed")
+@click.option("--processes", type=int, help="worker processes (default: one a core)")
+@click.option("--size", "sizes", type=int, multiple=True, help="members (default: 8, 40, 200, 1000)")
+def membership(out: str, seeds: tuple[int, ...], hour: float, processes: int | None, sizes: tuple[int, ...]) -> None:
+    """Measure membership against its baselines in the emulator: a table on standard output, a plot in the folder."""
+    from .lab import membership as measuring
+    folder = Path(out)
+    with click.progressbar(length=1000, label="membership", file=sys.stderr) as bar:
+        rows = measuring.measure(folder, list(seeds or range(1, 7)), hour, processes, sizes or measuring.SIZES,
+                                 lambda done: bar.update(int(done * 1000) - bar.pos))
+    click.echo(measuring.table(rows))
+    click.echo(f"plot: {measuring.plot(rows, folder / 'membership.png')}")
+
+
 @main.command()
 def version() -> None:
     """The program's version."""
--- a/brookhub/config/models.py
+++ b/brookhub/config/models.py
@@ -5,9 +5,10 @@
 
 from __future__ import annotations
 
-from typing import Any, Literal
+from ipaddress import IPv4Address
+from typing import Annotated, Any, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
 
 
 class Strict(BaseModel):
@@ -67,8 +68,8 @@
     """Whether the limiters know who is there by talking to each other, and how."""
 
     on: bool = False
-    protocol: Literal["lifeguard", "swim", "heartbeat"] = Field("lifeguard", description="swim, heartbeat: baselines")
-    period_s: float = Field(0.5, gt=0, le=10, description="between two probes of a member")
+    period_s: float = Field(0.25, gt=0, le=10, description="between two probes of a member")
+    hard_by: Literal["sure", "live"] = Field("sure", description="live: a baseline in the emulator, joint parts by who is seen")
 
 
 class FleetSpec(Strict):
@@ -157,6 +158,45 @@
     memory_mb: float = Field(192, gt=0)
 
 
+def endpoint(text: str) -> str:
+    """HOST:PORT with an IPv4 address; raises ValueError."""
+    host, _, port = text.rpartition(":")
+    try:
+        good = str(IPv4Address(host)) == host and 0 < int(port) < 65536
+    except ValueError:
+        good = False
+    if not good:
+        raise ValueError(f"an IPv4 address and a port are needed, not {text!r}")
+    return text
+
+
+class PeerSpec(Strict):
+    """Another limiter of the fleet: its name, and the UDP address it is reached at and sends from."""
+
+    name: str = Field(min_length=1, max_length=32)
+    address: Annotated[str, AfterValidator(endpoint)]
+
+
+class MembershipFile(Strict):
+    """The operator's file of a limiter's peers (deploy/membership.example.toml). Off unless the start file names it."""
+
+    fleet: str = Field(min_length=1, max_length=32, description="others' messages are dropped")
+    name: str = Field(min_length=1, max_length=32, description="of this limiter, as the others list it")
+    listen: Annotated[str, AfterValidator(endpoint)]
+    period_s: float = Field(0.25, ge=0.05, le=10, description="between two probes; the same at all")
+    peers: list[PeerSpec] = Field(min_length=1, max_length=1024)
+
+    @model_validator(mode="after")
+    def _each_once(self) -> "MembershipFile":
+        names = [self.name] + [one.name for one in self.peers]
+        addresses = [self.listen] + [one.address for one in self.peers]
+        for what, all_of_them in (("name", names), ("address", addresses)):
+            twice = next((one for one in all_of_them if all_of_them.count(one) > 1), None)
+            if twice is not None:
+                raise ValueError(f"the {what} {twice} is there twice")
+        return self
+
+
 class GatewayFile(Strict):
     """The gateway's start file in TOML: the same keys as the JSON start file (README), checked."""
 
@@ -167,6 +207,7 @@
     seed: str = "0"
     limits: Limits = Limits()
     known: Any = None
+    membership: str | None = Field(None, description="path of the file of peers; off where it is not named")
     settings: dict[str, Any]
 
     def start_json(self) -> dict:
--- a/brookhub/emulator/fleet.py
+++ b/brookhub/emulator/fleet.py
@@ -17,8 +17,10 @@
 from ..config.models import Experiment, FaultSpec
 from ..interface import ApiCall, Group, Plan, Repeat, Route, State
 from .engine import Engine
+from ..membership import ALIVE, Membership
 from .limiter import Seat
-from .rules import Referee
+from .peers import FLEET, PeerNet, PeerSeat
+from .rules import LATE, Referee
 from .world import Counter, Discovery, ServerModel, Servers
 
 REPEATS = {"idempotent": Repeat.IDEMPOTENT, "tokened": Repeat.TOKENED, "non_idempotent": Repeat.NON_IDEMPOTENT}
@@ -133,6 +135,7 @@
             "longest_retry_after": fleet.longest_retry_after_s, "cold_from": servers.cold_from,
             "warm_after": servers.warm_after_s, "fall_multiple": servers.fall_multiple, "fall_within": servers.fall_within_s,
             "asks_for_servers": False, "ask_within": 10.0}
+        self.net = PeerNet(self.engine, self.seed) if fleet.membership.on else None
         self.seats: list[Seat] = []
         for index in range(fleet.limiters):
             self.seats.append(self.launch(index))
@@ -149,8 +152,22 @@
         zones = self.experiment.fleet.zones
         seat = Seat(self, index, index % zones, self.rng.getrandbits(63), {**self.terms, "zone": index % zones})
         seat.servers(self.entries(), whole=True)
+        if self.net:
+            self.join(seat)
         return seat
 
+    def join(self, seat: Seat) -> None:
+        """The limiter's membership: at the run's start all know each other, restarted ones begin with nothing."""
+        spec, count = self.experiment.fleet.membership, self.experiment.fleet.limiters
+        seat.peer = peer = PeerSeat(self.net, f"n{seat.index}", told=lambda live, rank, sure: seat.gateway.fleet_told(
+            live, rank, sure if spec.hard_by == "sure" else live))
+        peer.core = Membership(peer, FLEET, peer.name, [f"n{index}" for index in range(count)], self.seed, spec.period_s)
+        if self.engine.now == 0.0:
+            for member in peer.core.members.values():
+                member.state, member.incarnation = ALIVE, 0
+            peer.core.present = set(peer.core.names)
+        peer.core.start()
+
     def entries(self) -> list[tuple]:
         return [model.entry() for model in self.servers.models.values() if model.state is not State.GONE]
 
@@ -171,7 +188,7 @@
 
     def call(self, customer: Customer, route: Route, repeated: bool) -> None:
         now, load = self.engine.now, self.experiment.load
-        living = [seat for seat in self.seats if seat.alive]
+        living = [seat for seat in self.seats if seat.alive and not seat.closing]
         if not living:
             self.result.calls += 1
             self.result.lost += 1
@@ -179,7 +196,8 @@
         seat = living[self.rng.randrange(len(living))]
         self.ident += 1
         payer = seat.customers.find(customer.id, customer.plan)
-        call = ApiCall(self.ident, payer, route, now + route.client_timeout, 1.0, len(living), seat.index, repeated,
+        # The customer's set is the whole fleet as its settings say, whoever lives: a front knows no better.
+        call = ApiCall(self.ident, payer, route, now + route.client_timeout, 1.0, len(self.seats), seat.index, repeated,
                        route.repeat is not Repeat.IDEMPOTENT)
         call.who = customer
         self.result.calls += 1
@@ -203,6 +221,8 @@
         now = self.engine.now
         self.referee.now = now
         self.referee.note("answer", seat.index, call.id, how)
+        if now > call.expires + LATE and seat.wakes > call.expires:  # it was stopped: it ends the connection instead
+            return self.lost(call)
         self.referee.answering(call, self.answered.get(call.id, False))
         self.answered[call.id] = True
         began = self.started.pop(call.id, None)
@@ -251,6 +271,21 @@
                 seat.kill()
                 if action == "restart_limiters":
                     engine.after(RESTART_AFTER, lambda index=seat.index: self.restart(index))
+        elif action == "term_limiters":
+            for seat in self.pick([seat for seat in self.seats if seat.alive], fault.share):
+                self.term(seat)
+        elif action == "stall_limiters":
+            for seat in self.pick([seat for seat in self.seats if seat.alive], fault.share):
+                seat.wakes = engine.now + fault.for_s
+                if seat.peer:
+                    seat.peer.wakes = seat.wakes
+        elif action in ("split_limiters", "cut_peers", "lose_packets"):
+            self.hurt_peers(fault)
+        elif action == "cut_links":
+            for seat in self.seats:
+                for model in models:
+                    if self.rng.random() < fault.share:
+                        seat.cut[model.id] = engine.now + fault.for_s
         elif action in ("drain_servers", "replace_servers"):
             drained = self.pick([model for model in models if model.state is State.READY], fault.share)
             for model in drained:
@@ -278,6 +313,36 @@
         elif action == "lose_answers":
             self.servers.lost_share = self.counter.lost_share = fault.share
             engine.after(fault.for_s, lambda: self.unlose())
+        else:
+            raise ValueError(f"{action}: not played in the emulator, only on processes")
+
+    def term(self, seat: Seat) -> None:
+        """A planned end: no new calls, the others are told; gone when the longest call's time is over, then back."""
+        seat.closing = True
+        if seat.peer:
+            seat.peer.core.leave()
+        longest = max(route.client_timeout for route in self.routes)
+
+        def end() -> None:
+            seat.kill()
+            self.engine.after(RESTART_AFTER, lambda: self.restart(seat.index))
+        self.engine.after(longest + 0.1, end)
+
+    def hurt_peers(self, fault: FaultSpec) -> None:
+        if not self.net:
+            raise ValueError(f"{fault.action}: the experiment's fleet has no membership, so no peer links")
+        net = self.net
+        if fault.action == "lose_packets":
+            net.loss = net.doubled = net.reordered = fault.share
+        else:
+            side = {f"n{seat.index}" for seat in self.pick(self.seats, fault.share)}
+            net.apart = lambda a, b: (fault.way != "back" and a in side and b not in side) or (
+                fault.way != "forward" and b in side and a not in side)
+
+        def heal() -> None:
+            net.loss = net.doubled = net.reordered = 0.0
+            net.apart = None
+        self.engine.after(fault.for_s, heal)
 
     def unlose(self) -> None:
         self.servers.lost_share = self.counter.lost_share = 0.0
--- a/brookhub/emulator/limiter.py
+++ b/brookhub/emulator/limiter.py
@@ -11,12 +11,17 @@
 from ..roster import Customers, Roster
 
 
+CONNECT_WITHIN = 0.25  # s that a dial over a cut link is waited for
+
+
 class Seat:
     """A limiter's place in the fleet. After `kill()` nothing it scheduled runs, and its API calls are lost."""
 
     def __init__(self, fleet, index: int, zone: int, seed: int, terms: dict):
         self.fleet, self.engine, self.index, self.zone = fleet, fleet.engine, index, zone
-        self.alive = True
+        self.alive, self.closing, self.wakes = True, False, 0.0  # while stalled nothing of it runs; what came waits, in order
+        self.peer = None  # its membership's place, where the fleet has it
+        self.cut: dict[int, float] = {}  # servers that its links do not reach, each until when (s)
         self.roster, self.customers = Roster(), Customers()
         self.calls: dict[int, ApiCall] = {}
         self.logged = 0
@@ -28,6 +33,8 @@
 
     def kill(self) -> None:
         self.alive = False
+        if self.peer:
+            self.peer.kill()
         for call in self.calls.values():
             self.fleet.lost(call)
         self.calls.clear()
@@ -42,7 +49,10 @@
         call.tries.append(one)
         left = call.expires - self.now
         left = min(timeout, left) if timeout > 0 else left
-        self.fleet.servers.take(one, self)
+        if self.now < self.cut.get(server.id, 0.0):  # a dial that never comes up
+            self.later(min(left, CONNECT_WITHIN), lambda: self.end_try(one, Outcome.UNCONNECTED))
+        else:
+            self.fleet.servers.take(one, self)
         self.later(left, lambda: self.give_up(one, Outcome.TIMEOUT))
         return one
 
@@ -84,10 +94,15 @@
         self.later(self.fleet.discovery.delay, lambda: self.servers(self.fleet.entries(), whole=True))
 
     def later(self, seconds: float, callback: Callable[[], None]) -> None:
-        def fire() -> None:
-            if self.alive:
-                callback()
-        self.engine.after(seconds, fire)
+        self.engine.after(seconds, lambda: self.when_awake(callback))
+
+    def when_awake(self, callback: Callable[[], None]) -> None:
+        if not self.alive:
+            return
+        if self.engine.now < self.wakes:
+            self.engine.at(self.wakes, lambda: self.when_awake(callback))
+        else:
+            callback()
 
     def log(self, text: str) -> None:
         self.logged += 1
@@ -99,6 +114,11 @@
             self.gateway.servers_told(self.roster.update(entries, whole))
 
     def arrive(self, call: ApiCall) -> None:
+        if self.engine.now < self.wakes:  # it waits in the system; woken too late, its connection is ended unread
+            self.engine.at(self.wakes, lambda: self.arrive(call) if self.engine.now < call.expires else self.fleet.lost(call))
+            return
+        if not self.alive:
+            return self.fleet.lost(call)
         self.calls[call.id] = call
         self.fleet.referee.note("arrive", self.index, call.id, call.customer.id, call.route.name)
         self.gateway.arrived(call)
@@ -109,6 +129,9 @@
             self.end_try(one, outcome)
 
     def end_try(self, one: UpstreamTry, outcome: Outcome) -> None:
+        if self.alive and self.engine.now < self.wakes:
+            self.engine.at(self.wakes, lambda: self.end_try(one, outcome))
+            return
         if one.outcome is not None or not self.alive:
             return
         one.outcome = outcome
--- /dev/null
+++ b/brookhub/emulator/peers.py
@@ -0,0 +1,168 @@
+"""A fleet's membership in simulated time: the real core of each member over modelled links.
+
+`PeerNet` carries datagrams with delay, loss, doubles, cuts; `Crew(...)` runs N members and notes who held whom for
+dead and when. Times in s (simulated), sizes in bytes; UDP and IP headers are counted as HEADER bytes a datagram.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Callable
+
+from ..membership import ABSENT, ALIVE, DEAD, LEFT, Heartbeats, Membership, Unreadable, decode
+from .engine import Engine
+
+HEADER = 28  # bytes of UDP and IPv4 heads
+DELAY, SPREAD = 0.0005, 0.001  # s that a datagram takes between two machines of a site: the least, and chance on top
+AFTER_TIMERS = 0.0001  # s after waking at which the datagrams that waited are read
+FLEET = "emulated"
+
+
+class PeerNet:
+    """Datagrams between members by name. `loss`, `doubled`, `reordered`: shares; `apart(a, b)`: whether a reaches b not."""
+
+    def __init__(self, engine: Engine, seed: int):
+        self.engine, self.rng, self.seats = engine, Random(f"net/{seed}"), {}
+        self.loss = self.doubled = self.reordered = 0.0
+        self.apart: Callable[[str, str], bool] | None = None
+
+    def send(self, source: str, peer: str, data: bytes) -> None:
+        chance = self.rng.random
+        if self.loss and chance() < self.loss or self.apart and self.apart(source, peer):
+            return
+        for _ in range(2 if self.doubled and chance() < self.doubled else 1):
+            wait = DELAY + SPREAD * chance() + (0.02 if self.reordered and chance() < self.reordered else 0.0)
+            self.engine.after(wait, lambda: self.arrive(source, peer, data))
+
+    def arrive(self, source: str, peer: str, data: bytes) -> None:
+        seat = self.seats.get(peer)
+        if seat:
+            seat.arrive(source, data)
+
+
+class PeerSeat:
+    """One member's place: its MembershipPort. While stalled, timers and datagrams wait until it wakes; then the timers
+    that are due come first and the datagrams after them, as where a loop looks at its timers before its sockets."""
+
+    def __init__(self, net: PeerNet, name: str, told=lambda live, rank, sure: None, changed=lambda member, state: None):
+        self.net, self.engine, self.name, self.core = net, net.engine, name, None
+        self.on_told, self.on_changed = told, changed
+        self.alive, self.wakes = True, 0.0
+        net.seats[name] = self
+
+    @property
+    def now(self) -> float:
+        return self.engine.now
+
+    def later(self, seconds: float, callback: Callable[[], None]) -> None:
+        self.engine.after(seconds, lambda: self.when_awake(callback))
+
+    def when_awake(self, callback: Callable[[], None], waits: float = 0.0) -> None:
+        if not self.alive:
+            return
+        if self.engine.now < self.wakes:
+            self.engine.at(self.wakes + waits, lambda: self.when_awake(callback))
+        else:
+            callback()
+
+    def send(self, peer: str, data: bytes) -> None:
+        self.net.send(self.name, peer, data)
+
+    def arrive(self, source: str, data: bytes) -> None:
+        def take() -> None:
+            try:
+                self.core.received(source, decode(data, FLEET))
+            except Unreadable as bad:
+                self.core.counts[bad.reason] += 1
+        self.when_awake(take, AFTER_TIMERS)
+
+    def told(self, live: int, rank: int, sure: int) -> None:
+        self.on_told(live, rank, sure)
+
+    def changed(self, member: str, state: int) -> None:
+        self.on_changed(member, state)
+
+    def kill(self) -> None:
+        self.alive = False
+        self.net.seats.pop(self.name, None)
+
+
+class Crew:
+    """N members, `protocol` lifeguard, swim or heartbeat; `warm`: all know each other from the start.
+
+    `deaths`: member -> {observer: s}, since it was last cleared; `false` counts declarations of members that ran
+    then (not killed, not stalled in the last `excuse` s), one for each member and FALSE_AGAIN s."""
+
+    FALSE_AGAIN = 10.0  # s in which one member's wrong deaths at many observers count as one
+
+    def __init__(self, count: int, seed: int = 1, protocol: str = "lifeguard", period: float = 0.25, warm: bool = True):
+        self.engine, self.protocol, self.period, self.seed = Engine(), protocol, period, seed
+        self.net = PeerNet(self.engine, seed)
+        self.rng = Random(f"crew/{seed}")
+        self.names = [f"n{index}" for index in range(count)]
+        self.seats: dict[str, PeerSeat] = {}
+        self.deaths: dict[str, dict[str, float]] = {}
+        self.false = self.stalled_deaths = self.observed = 0
+        self.wrongs: dict[str, float] = {}
+        self.stalls: dict[str, float] = {}
+        for name in self.names:
+            self.launch(name, warm)
+
+    def launch(self, name: str, warm: bool = False) -> PeerSeat:
+        seat = PeerSeat(self.net, name, changed=lambda member, state: self.changed(name, member, state))
+        peers = [other for other in self.names if other != name]
+        if self.protocol == "heartbeat":
+            seat.core = Heartbeats(seat, FLEET, name, peers, self.seed, self.period)
+        else:
+            seat.core = Membership(seat, FLEET, name, peers, self.seed, self.period, self.protocol == "lifeguard")
+        if warm:
+            self.warm(seat.core)
+        seat.core.start()
+        self.seats[name] = seat
+        return seat
+
+    def warm(self, core) -> None:
+        for member in core.members.values():
+            member.state, member.incarnation = ALIVE, 0
+        core.present = set(core.names)
+        if self.protocol == "heartbeat":
+            core.heard = dict.fromkeys(core.names, 0.0)
+
+    def changed(self, observer: str, member: str, state: int) -> None:
+        now = self.engine.now
+        if state in (DEAD, LEFT):
+            self.deaths.setdefault(member, {})[observer] = now
+        if state != DEAD:
+            return
+        seat = self.seats.get(member)
+        if seat and seat.alive:
+            if now < self.stalls.get(member, -1.0):
+                self.stalled_deaths += 1
+            else:
+                self.observed += 1
+                if now - self.wrongs.get(member, -self.FALSE_AGAIN) >= self.FALSE_AGAIN:
+                    self.false += 1
+                    self.wrongs[member] = now
+
+    def stall(self, name: str, seconds: float, excuse: float = 2.0) -> None:
+        """Stop a member for so long; deaths of it until `excuse` s after it woke are not called false."""
+        seat = self.seats[name]
+        seat.wakes = self.engine.now + seconds
+        self.stalls[name] = seat.wakes + excuse
+
+    def run(self, seconds: float) -> None:
+        self.engine.run(self.engine.now + seconds)
+
+    def agree(self) -> bool:
+        """Whether each living member holds exactly the living ones for present."""
+        living = {name for name, seat in self.seats.items() if seat.alive}
+        return all(seat.core.present == living - {name} for name, seat in self.seats.items() if seat.alive)
+
+    def sent(self) -> tuple[int, int]:
+        """(datagrams, bytes with headers) that all living members sent so far."""
+        counts = [seat.core.counts for seat in self.seats.values() if seat.alive]
+        datagrams = sum(one["datagrams"] for one in counts)
+        return datagrams, sum(one["bytes"] for one in counts) + HEADER * datagrams
+
+    def absent_at(self, observer: str) -> list[str]:
+        return [name for name, one in self.seats[observer].core.members.items() if one.state in ABSENT]
--- a/brookhub/interface.py
+++ b/brookhub/interface.py
@@ -132,6 +132,13 @@
     view: Any = None
 
 
+class Fleet(Protocol):
+    """What the decisions are told of the fleet, by whoever knows who is there (membership)."""
+
+    def fleet_told(self, live: int, rank: int, sure: int) -> None:
+        """So many gateways are there, this one's place among them (from 0), and so many have not surely left."""
+
+
 Told = Callable[[Outcome, float, float], None]  # how a count ended, its total, how long it took
 
 
--- /dev/null
+++ b/brookhub/membership/messages.py
@@ -0,0 +1,69 @@
+"""The datagrams between limiters: msgpack by msgspec, checked for size before they are decoded.
+
+A message: fleet, version, kind, source, number, about, news. A piece of news: (name, state, incarnation, by), where
+`by` is who suspects. Types and ranges are checked by msgspec; what does not fit raises Unreadable.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+VERSION = 1
+LARGEST = 1200  # bytes of a datagram: below any path's MTU, so none is split
+MOST_NEWS = 120  # pieces in a message: more do not fit LARGEST
+PING, PING_FOR, ACK, NACK, NEWS, TABLE, HELLO = range(1, 8)
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=32)]
+Maybe = Annotated[str, msgspec.Meta(max_length=32)]
+Number = Annotated[int, msgspec.Meta(ge=0, le=2 ** 40)]
+Piece = tuple[Name, Annotated[int, msgspec.Meta(ge=1, le=4)], Number, Maybe]
+
+
+class Unreadable(ValueError):
+    """A datagram that is no message of this fleet; `reason` is the counter it goes to."""
+
+    def __init__(self, reason: str):
+        self.reason = reason
+        super().__init__(reason)
+
+
+class Message(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    fleet: Name
+    version: Number
+    kind: Annotated[int, msgspec.Meta(ge=1, le=7)]
+    source: Name
+    number: Number = 0
+    about: Maybe = ""
+    news: Annotated[list[Piece], msgspec.Meta(max_length=MOST_NEWS)] = []
+
+
+_encoder, _decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
+
+
+def weight(piece: tuple) -> int:
+    """Bytes that a piece of news takes at the most."""
+    return len(piece[0].encode()) + len(piece[3].encode()) + 14
+
+
+def encode(message: Message) -> bytes:
+    data = _encoder.encode(message)
+    if len(data) > LARGEST:
+        raise ValueError(f"a message of {len(data)} bytes")
+    return data
+
+
+def decode(data: bytes, fleet: str) -> Message:
+    """A message of this fleet; raises Unreadable("oversized", "unreadable", "foreign" or "version")."""
+    if len(data) > LARGEST:
+        raise Unreadable("oversized")
+    try:
+        message = _decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        raise Unreadable("unreadable") from None
+    if message.fleet != fleet:
+        raise Unreadable("foreign")
+    if message.version != VERSION:
+        raise Unreadable("version")
+    return message
--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -97,23 +97,32 @@
 class Account:  # what this gateway knows of a customer: the quota as told, its share, loans of its room
 
     def __init__(self, customer, gateways, largest, now, launched, counted):
-        plan, part = customer.plan, 1.0 / gateways
-        self.customer, self.plan, self.gateways, self.active = customer, plan, gateways, now
+        plan, self.counted, self.credit, self.used = customer.plan, counted, 0.0, inf
+        self.customer, self.plan, self.active, self.largest = customer, plan, now, largest
         self.store = Store(plan.rate, plan.burst, plan.burst, now)
-        # Where an Nth is less than one API call, one may pass unasked if the counter can't be asked.
-        self.credit = self.most_credit = largest if plan.burst * part < largest else 0.0
         # A launch may be a restart: what an earlier life spent is unknown, so the own shares are empty then.
-        since, self.part = (now, part) if self.credit else (launched, min(1.0, UNHEARD * part))
-        self.share = Store(plan.rate * part, max(plan.burst * part, largest), 0.0, since)
-        self.alone = Store(plan.rate * self.part, max(plan.burst * self.part, largest), 0.0, since)
+        since = now if plan.burst / gateways < largest else launched
+        self.share, self.alone, self.ceiling = (Store(0.0, 0.0, 0.0, since if n < 2 else launched) for n in range(3))
+        self.divide(gateways)
+        self.credit = self.most_credit
+        self.window, self.total, self.unsaid, self.told_at, self.hold = None, 0.0, 0.0, -FORGET, 0.0
+        self.lent, self.out = 0.0, 0
+
+    def divide(self, gateways):
+        """Its parts, where so many gateways hold the quota. What is in the stores by now stays, as far as it fits."""
+        plan, largest, part, self.gateways = self.plan, self.largest, 1.0 / gateways, gateways
+        # Where an Nth is less than one API call, one may pass unasked if the counter can't be asked.
+        self.most_credit = largest if plan.burst * part < largest else 0.0
+        self.credit, self.part = min(self.credit, self.most_credit), part if self.most_credit else min(1.0, UNHEARD * part)
         # A ceiling is held in two halves: own shares of one, the other by the window's count, which all gateways see. A
         # window may use half a half's burst, which comes in again within a window: any span touches two more than it fills.
-        joint = plan.ceiling_burst / 4 if counted and self.credit else 0.0  # only where an Nth is thin
+        joint = plan.ceiling_burst / 4 if self.counted and self.most_credit else 0.0  # only where an Nth is thin
         self.joint = joint if joint * plan.rate <= plan.ceiling_rate / 2 * plan.burst else 0.0
-        part, self.used = part * (0.5 if self.joint else 1.0), inf
-        self.ceiling = Store(plan.ceiling_rate * part, plan.ceiling_burst * part, 0.0, launched)
-        self.window, self.total, self.unsaid, self.told_at, self.hold = None, 0.0, 0.0, -FORGET, 0.0
-        self.lent, self.out = 0.0, 0
+        half = part * (0.5 if self.joint else 1.0)
+        for store, rate, depth in ((self.share, plan.rate * part, max(plan.burst * part, largest)),
+                                   (self.alone, plan.rate * self.part, max(plan.burst * self.part, largest)),
+                                   (self.ceiling, plan.ceiling_rate * half, plan.ceiling_burst * half)):
+            store.rate, store.depth, store.level = rate, depth, min(store.level, depth)
         self.refills = max(one.depth / max(one.rate, 1e-9) for one in (self.store, self.share, self.ceiling))
 
 
@@ -406,12 +415,12 @@
 class Upstreams(Stage):  # chooses servers, sends, judges them, and decides on further tries
 
     def __init__(self, port, dice, line, zone, start, gateways, max_tries, may_cancel, horizon, cold):
-        self.port, self.dice, self.line, self.gateways = port, dice, line, gateways
+        self.port, self.dice, self.line, self.gateways, self.sure = port, dice, line, gateways, gateways
         self.zone, self.start, self.max_tries, self.may_cancel = zone, start, max_tries, may_cancel
         self.horizon, (self.cold_from, self.warm_after, multiple) = horizon, cold
         self.cold_share = min(COLD_MOST, COLD_PART * multiple)
         self.servers, self.best, self.best_at, self.sure_at, self.out = [], 0.0, 0.0, port.now + SOON, 0
-        self.window, self.part, self.peers, self.warm, self.drawn_at = 0.0, [], gateways, 0, 0.0
+        self.window, self.part, self.peers, self.rivals, self.warm, self.drawn_at = 0.0, [], gateways, gateways, 0, 0.0
         self.took, self.ends, self.further, self.helped, self.sends = (Fading() for _ in range(5))
 
     def delay(self):  # seconds that an answer takes in the mean, 0 while none is known
@@ -440,6 +449,7 @@
                 self.part.append(view)
                 sound += view.sound()
         self.peers = max(1.0, self.gateways * len(self.part) / max(1, count))
+        self.rivals = max(1.0, self.sure * len(self.part) / max(1, count))
         self.window = self.window or max(1.0, PLACES * count / self.gateways)
         self.warm = sum(self.is_warm(view) for view in self.part)
 
@@ -452,7 +462,7 @@
         usual = self.sends.read(now) / MEMORY / self.warm if self.warm else 0.0
         warmth = self.cold_from + (1 - self.cold_from) * max(0.0, now - view.up_since) / self.warm_after
         view.cold.read(now)
-        view.cold.rate = warmth * self.cold_share * max(usual, 1 / max(self.delay(), 0.05) / self.peers)
+        view.cold.rate = warmth * self.cold_share * max(usual, 1 / max(self.delay(), 0.05) / self.rivals)
         return view.cold.level >= 1
 
     def group_allows(self, rq, server, ran):  # whether a repeat may go there, after tries that may have run
@@ -572,6 +582,7 @@
         self.port, self.launched, self.trued_up, self.ask_within = port, port.now, trued_up, ask_within
         dice, horizon = Dice(seed), max((route.target for route in routes), default=1.0)
         self.line, self.quota = Line(port), Quota(port, dice, counter_wait, largest, gateways)
+        self.gateways = self.sure = gateways
         self.intake, self.accounts = Intake(port, self.line, longest_retry_after), {}  # in order of last use
         self.upstreams = Upstreams(port, dice, self.line, zone, slot * GOLDEN % 1.0, gateways, max_tries,
                                    may_cancel, horizon, (cold_from, warm_after, fall_multiple))
@@ -593,11 +604,27 @@
             if self.port.now - one.active > max(kept, one.refills) and not one.lent and not one.out:
                 one.customer.account = self.accounts.pop(one)  # None: its stores are full by now
 
+    def holders(self, told):  # how many gateways hold a quota: of the whole fleet's, those not known to have left
+        return self.sure if told == self.gateways else told
+
+    def fleet_told(self, live, rank, sure):
+        """Membership's word: how many gateways are there, this one's place among them, how many have not surely left.
+        What is held jointly is divided by `sure`: in a split both sides are still there. The rest goes by `live`."""
+        self.sure = sure
+        for account in self.accounts:
+            if self.holders(account.told) != account.gateways:
+                for one in (account.share, account.alone, account.ceiling):
+                    one.read(self.port.now)
+                account.divide(self.holders(account.told))
+        self.upstreams.gateways, self.upstreams.sure = live, sure
+        self.upstreams.draw()
+
     def arrived(self, call):
         now, customer = self.port.now, call.customer
         if customer.account not in self.accounts:
-            customer.account = Account(customer, call.gateways, self.quota.largest, now, self.launched,
+            customer.account = Account(customer, self.holders(call.gateways), self.quota.largest, now, self.launched,
                                        self.quota.counter_wait > 0)
+            customer.account.told = call.gateways
         self.touch(customer.account)
         self.intake.take(Rq(call, customer.account, now))
 
--- a/brookhub/program/run.py
+++ b/brookhub/program/run.py
@@ -60,7 +60,7 @@
         self.log = log.open_log(start.name)
         self.longest = max((route.client_timeout for route in start.terms["routes"]), default=LONGEST)
         ends = log.Ends(self.log)
-        self.port = port = SocketPort(self.fault, GRAIN)
+        self.port = port = SocketPort(self.fault, GRAIN, self.woken)
         servers_most = max(8, int(start.sockets * SERVER_PART))
         clients_most = max(8, start.sockets - servers_most - COUNTER_LINKS - SPARE)
         port.servers = Servers(port, ends, start.connect_within, start.server_idle_for * IDLE_PART, SETTLE,
@@ -86,13 +86,32 @@
             self.listener = Listener(start.listen)
         except OSError as broken:
             raise StartError(f"can't listen at {start.listen[0]}:{start.listen[1]}: {broken.strerror}") from None
+        self.peers = self.join(start)
         if start.known:
             port.run(monotonic(), self.discovery.heard, start.known)
 
+    def join(self, start: Start):
+        """The membership driver, where the start file names peers and the settings let limiters talk; else nothing:
+        no socket, no thread, and nothing of it imported."""
+        if start.membership is None:
+            return None
+        spec = startfile.peers(start)
+        if not start.may_talk:
+            self.log.warning("membership refused", why="the settings do not allow peer messages")
+            return None
+        from ..routing.peers import Peers
+        try:
+            return Peers(self.port, self.log, spec, start.seed)
+        except OSError as broken:
+            raise StartError(f"membership: can't listen at {spec.listen}: {broken.strerror}") from None
+
     def fault(self, met: BaseException) -> None:
         """What nobody expected: it is told with its trace, and the program goes on."""
         self.log.error("fault", exc_info=met)
 
+    def woken(self, seconds: float) -> None:
+        self.log.warning("was stopped", seconds=round(seconds, 2))
+
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then answer what was taken; SIGHUP has the start file read again."""
         small_stacks()
@@ -106,6 +125,8 @@
             port.run(monotonic(), port.counter.move, self.start.counter)
             port.run(monotonic(), port.counter.beat)
         port.run(monotonic(), self.discovery.move, self.start.discovery)
+        if self.peers:
+            self.peers.start()
         spawn("accept", self.listener.run, self.clients.accepted)
         self.log.info("serving")
         while signal.sigwait(SIGNALS) == signal.SIGHUP:
@@ -117,17 +138,22 @@
         start on. One that can't be used changes nothing."""
         try:
             start = startfile.read(os.environ, again=True)
+            peers = startfile.peers(start) if self.peers and start.membership else None
         except StartError as refused:
             return self.log.error("not reloaded", why=str(refused))
         self.port.run(monotonic(), self.discovery.move, start.discovery)
         if self.port.counter and start.counter:
             self.port.run(monotonic(), self.port.counter.move, start.counter)
+        if peers:
+            self.port.run(monotonic(), self.peers.relist, peers)
         waits = start.terms != self.start.terms or start.listen != self.start.listen
         self.log.info("reloaded", discovery="%s:%d" % start.discovery, waits_for_a_start=waits,
                       counter="%s:%d" % start.counter if start.counter else None)
 
     def stop(self, told_at: float) -> None:
         self.log.info("stopping")
+        if self.peers:
+            self.port.run(told_at, self.peers.leave)
         answers_by = told_at + min(LONGEST, self.longest) + AFTER
         self.port.run(told_at, self.clients.stop)
         sleep(ACCEPTS_ON)
--- a/brookhub/program/startfile.py
+++ b/brookhub/program/startfile.py
@@ -38,6 +38,10 @@
             self.seed = int(str(told.get("seed", "0")), 16)
         except ValueError:
             raise StartError("seed is not a hexadecimal number") from None
+        # Off where no file is named; deny by default: only settings that say so let limiters talk to each other.
+        self.membership, self.may_talk = told.get("membership"), limits.get("peer_messages") is True
+        if self.membership is not None and not (isinstance(self.membership, str) and self.membership):
+            raise StartError("membership is not the path of a file")
         self.known = None
         if told.get("known") is not None:
             try:
@@ -69,6 +73,15 @@
         raise StartError(f"line {broken.line}: {broken.key}: {broken.why}") from None  # read() names the file
 
 
+def peers(start: Start):
+    """The file of peers that a start file names (config.models.MembershipFile); raises StartError in one line."""
+    from ..config import ConfigError, MembershipFile, load
+    try:
+        return load(start.membership, MembershipFile)
+    except ConfigError as broken:
+        raise StartError(f"membership: {broken}") from None
+
+
 def read(environment: Mapping[str, str], again: bool = False) -> Start:
     """The file is the newer word where it is read again: the variables are those of the program's start."""
     path = environment.get("NODE_CONFIG")
--- a/brookhub/routing/clients.py
+++ b/brookhub/routing/clients.py
@@ -17,6 +17,8 @@
 from .connections import read_to_end
 
 
+LATEST = 0.5  # s after its client timeout from which a call's connection is ended rather than answered: nobody waits
+STOPPED = 1.0  # s that a look at the connections may come late before the process counts as one that was stopped
 LOOKS = 8  # idle connections looked at for one that can be closed, at a time
 
 
@@ -31,7 +33,11 @@
     def answer(self, *parts: bytes | bytearray) -> None:
         if self.said is None:
             self.said, self.size = deque(parts), sum(map(len, parts))
-            self.client.clients.answered(self)
+            clients = self.client.clients
+            clients.answered(self)
+            if self.call and clients.port.now > self.call.expires + LATEST and not self.client.gone:
+                self.call = None  # this process was stopped, or starved: a late answer helps nobody
+                return clients.leave(self.client, "late")
             self.call = None  # the call may be known a while longer, what it came on is not held by it
             self.client.pour()
 
@@ -51,7 +57,7 @@
         self.clients = clients
         self.stream = Stream(sock, resp.ROOM, self.drained)
         self.slots: deque[Slot] = deque()
-        self.served, self.idle_at = 0, 0.0
+        self.served, self.idle_at, self.waited = 0, 0.0, 0.0  # waited: s that what came may have lain unread
         self.waits = self.gone = self.parting = False  # parting: its end is under way, nothing more is taken
 
     # its thread
@@ -103,11 +109,15 @@
     def take(self, asked: list, bad: resp.Malformed | None) -> None:
         if self.parting:
             return  # it crossed the end of the connection: the client asks again on another
+        self.clients.woken()
+        waited, self.waited = self.waited, 0.0
+        if waited and any(isinstance(one, calls.Wording) and one.patience <= waited for one in asked):
+            return self.clients.leave(self, "late")
         for one in asked:
             slot = self.slot()
             if isinstance(one, calls.Wording):
                 try:
-                    self.clients.call(slot, one)
+                    self.clients.call(slot, one, waited)
                 except Exception as met:  # a fault costs this call, not those behind it on the connection
                     self.clients.port.todo.append((self.clients.port.faults, met))
                     slot.answer(calls.ERRORED)
@@ -184,6 +194,8 @@
         self.mute: dict[Client, None] = {}  # those that never sent a whole one, the oldest first
         self.stopping = self.closing = False  # no idle one is closed for another or for its age; each after its answer
         self.ids: set[int] = set()  # of the calls that are open
+        self.sweeps_at = port.now + mute_for  # when the next look at them is due
+        self.woke_at = self.slept_for = -1.0  # when this process last was found to have been stopped, and how long
         self.living = self.open_calls = self.asked = 0  # descriptors not yet given back; API calls, bytes of them
 
     def accepted(self, sock) -> None:
@@ -202,6 +214,9 @@
                 return
             self.leave(oldest, "made-room")
         self.living += 1
+        self.woken()
+        if self.port.now - self.woke_at < LATEST:
+            client.waited = client.stream.lain(self.slept_for)  # it may have come up while nobody accepted
         client.idle_at = self.port.now
         self.all[client] = self.mute[client] = None
         self.port.todo.append((self.start, client))
@@ -230,8 +245,22 @@
         self.forget(client)
         self.port.todo.append((client.stream.end, reason))
 
+    def woken(self) -> None:
+        """See whether this process was stopped for a while (a signal, a paused machine). What came to its connections
+        meanwhile has lain there: a call whose time that cost is not begun and its connection ends, others have so much
+        less."""
+        late = self.port.now - self.sweeps_at
+        if late > STOPPED:
+            self.sweeps_at = self.port.now
+            self.woke_at, self.slept_for = self.port.now, late + self.mute_for / 8
+            for client in list(self.all):
+                client.waited = client.stream.lain(self.slept_for)
+            self.port.todo.append((self.port.log_woken, self.slept_for))
+
     def sweep(self) -> None:
         """Close who connected and sent nothing whole, and who has been idle for long."""
+        self.woken()
+        self.sweeps_at = self.port.now + self.mute_for / 8
         self.port.later(self.mute_for / 8, self.sweep)
         kinds = [(self.mute, self.mute_for, "mute"), (self.idle, self.idle_for, "idle")]
         for held, most, reason in kinds[:1] if self.stopping else kinds:
@@ -250,14 +279,14 @@
             self.port.run(monotonic(), client.left)
             self.log_end("client", "no-thread", None, 0.0, 0)
 
-    def call(self, slot: Slot, wording: calls.Wording) -> None:
+    def call(self, slot: Slot, wording: calls.Wording, waited: float = 0.0) -> None:
         route, plan = self.routes[wording.route], self.plans[wording.plan]
         if wording.ident in self.ids:
             return slot.answer(resp.error("ERR the id is that of another open call"))
         if self.open_calls >= self.most_calls or self.asked + self.held + wording.size > self.most_held:
             return slot.answer(calls.rate_limited(0.0))
         customer = self.customers.find(wording.customer, plan)
-        call = WordedCall(wording.ident, customer, route, self.port.now + min(wording.patience, route.client_timeout),
+        call = WordedCall(wording.ident, customer, route, self.port.now + min(wording.patience, route.client_timeout) - waited,
                           wording.units, wording.spread, wording.first, wording.repeated, wording.write,
                           wording=wording, slot=slot)
         self.ids.add(wording.ident)
--- /dev/null
+++ b/brookhub/routing/peers.py
@@ -0,0 +1,134 @@
+"""Membership's driver: one UDP socket, a thread that reads it, timers and sends by the port.
+
+What is unreadable, foreign, oversized or from an unlisted address is dropped and counted before the lock is taken.
+"""
+
+from __future__ import annotations
+
+import socket
+from contextlib import suppress
+from time import monotonic
+
+from ..membership import LARGEST, WORDS, Membership, Unreadable, decode
+from ..transport.threads import spawn
+
+BUFFER = 256 * 1024  # bytes that the system holds of datagrams not yet read: a burst after a split heals
+SAYS, SAYS_DROPPED = 1.0, 5.0  # s between two log lines of the fleet's state at the least, of what was dropped
+NAMED = 8  # absent members named in a log line
+
+
+def address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+class Peers:
+    """The membership of one limiter on sockets. `spec`: config.models.MembershipFile; raises OSError where its
+    address can't be had. A membership.MembershipPort: its methods but `start` and `read` run under the port's lock."""
+
+    def __init__(self, port, log, spec, seed: int):
+        self.port, self.log, self.fleet = port, log, spec.fleet
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
+            self.sock.bind(address(spec.listen))
+        except OSError:
+            self.sock.close()
+            raise
+        self.by_name: dict[str, tuple[str, int]] = {}
+        self.by_address: dict[tuple[str, int], str] = {}
+        self.list(spec)
+        self.core = Membership(self, spec.fleet, spec.name, self.by_name, seed, spec.period_s)
+        self.dropped: dict[str, int] = {}
+        self.dropped_told: dict[str, int] = {}
+        self.saying = False
+        self.numbers = (0, 0, 0)
+
+    def list(self, spec) -> None:
+        self.by_name = {one.name: address(one.address) for one in spec.peers}
+        self.by_address = {at: name for name, at in self.by_name.items()}
+
+    def start(self) -> None:
+        spawn("peers", self.read)
+        self.port.run(monotonic(), self.core.start)
+        self.port.run(monotonic(), self.later, SAYS_DROPPED, self.say_dropped)
+
+    def relist(self, spec) -> None:
+        """The file was read again: other peers from now on; its own name and address hold until the next start."""
+        self.list(spec)
+        self.core.relist(self.by_name)
+
+    def read(self) -> None:
+        """The thread: whatever arrives, to the end of the program."""
+        while True:
+            try:
+                data, source = self.sock.recvfrom(LARGEST + 1)
+            except OSError:
+                return
+            peer = self.by_address.get(source)
+            if peer is None:
+                self.drop("unlisted")
+                continue
+            try:
+                message = decode(data, self.fleet)
+            except Unreadable as bad:
+                self.drop(bad.reason)
+                continue
+            self.port.run(monotonic(), self.core.received, peer, message)
+
+    def drop(self, reason: str) -> None:
+        self.dropped[reason] = self.dropped.get(reason, 0) + 1
+
+    # the membership's port
+
+    @property
+    def now(self) -> float:
+        return self.port.now
+
+    def later(self, seconds: float, callback) -> None:
+        self.port.later(seconds, callback)
+
+    def send(self, peer: str, data: bytes) -> None:
+        at = self.by_name.get(peer)
+        if at:
+            self.port.todo.append((self.write, data, at))
+
+    def write(self, data: bytes, at: tuple[str, int]) -> None:
+        with suppress(OSError):  # nobody there, or no room: the network loses datagrams, and this is one
+            self.sock.sendto(data, socket.MSG_DONTWAIT, at)
+
+    def told(self, live: int, rank: int, sure: int) -> None:
+        self.numbers = (live, rank, sure)
+        self.port.gateway.fleet_told(live, rank, sure)
+        self.soon()
+
+    def changed(self, member: str, state: int) -> None:
+        self.soon()
+
+    # the log
+
+    def soon(self) -> None:
+        if not self.saying:
+            self.saying = True
+            self.later(SAYS, self.say)
+
+    def say(self) -> None:
+        self.saying = False
+        absent = [f"{name} {WORDS[one.state]}" for name, one in sorted(self.core.members.items())
+                  if name not in self.core.present]
+        live, rank, sure = self.numbers
+        self.port.todo.append((lambda: self.log.info(
+            "fleet", live=live, rank=rank, sure=sure, present=1 + len(self.core.present), absent=absent[:NAMED],
+            more=max(0, len(absent) - NAMED)),))
+
+    def say_dropped(self) -> None:
+        counts = {**self.dropped, **{name: self.core.counts[name] for name in ("foreign", "unlisted-member")
+                                     if self.core.counts[name]}}
+        if counts != self.dropped_told:
+            self.dropped_told = counts
+            self.port.todo.append((lambda: self.log.warning("peer datagrams dropped", **counts),))
+        self.later(SAYS_DROPPED, self.say_dropped)
+
+    def leave(self) -> None:
+        """The program ends as planned: the others are told."""
+        self.core.leave()
--- a/brookhub/routing/port.py
+++ b/brookhub/routing/port.py
@@ -19,7 +19,9 @@
     has to be written, dialled, closed or logged goes to `todo`, which the same thread does after it.
     """
 
-    def __init__(self, faults: Callable[[BaseException], None], grain: float):
+    def __init__(self, faults: Callable[[BaseException], None], grain: float,
+                 log_woken: Callable[[float], None] = lambda seconds: None):
+        self.log_woken = log_woken
         self.now, self.lock, self.faults = monotonic(), Lock(), faults
         self.alarms, self.order, self.grain = [], 0, grain
         self.bell, self.looks_at = Lock(), 0.0  # held while nobody rings; when the timers look next by themselves
--- a/brookhub/transport/stream.py
+++ b/brookhub/transport/stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import sys
 from threading import Lock
 from typing import Callable
 
@@ -10,6 +11,7 @@
 from .threads import spawn
 
 
+LAST_HEARD = 52  # place in Linux' struct tcp_info of the ms since the last bytes came (tcpi_last_data_recv)
 NOWHERE = bytearray(16 * 1024)  # bytes waited for at a time, at most: well within what the system holds of one
 # connection. Nothing is written there: they are counted, not taken
 
@@ -68,6 +70,19 @@
         except OSError:
             return False
 
+    def lain(self, at_most: float) -> float:
+        """Seconds for which what nobody has read yet has been there, by the system's word; 0 where nothing has come.
+        `at_most` where the system does not tell."""
+        if not len(self.inbound) and not self.unheard():
+            return 0.0
+        try:
+            told = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_HEARD + 4)
+        except OSError:
+            return at_most
+        if len(told) < LAST_HEARD + 4:
+            return at_most
+        return min(at_most, int.from_bytes(told[LAST_HEARD:LAST_HEARD + 4], sys.byteorder) / 1000)
+
     def put(self, data: bytes) -> bool:
         """Have it written after all before it; False where it does not fit."""
         with self.lock:
