--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -376,6 +376,8 @@
         """Hand out what places are free; tell at once what can't meet its latency target any more."""
         waiting, self.waiting, blocked, delay = self.waiting, deque(), False, self.next.delay()
         for rq in waiting:
+            if self.port.now > rq.call.expires:  # where this process stood still, timers that are due may not have come yet
+                self.next.give_up(rq)
             view = self.next.pick(rq) if not rq.done and not blocked and self.before.room(rq) else None
             if view:
                 self.next.launch(rq, view)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -193,3 +193,82 @@
         for one in list(busy.out):
             busy.end(one, Outcome.OK)
     assert sum(busy.answers[call][0] == "proxied" for call in calls if call in busy.answers) >= 0.97 * len(calls)
+
+
+# the fleet as membership tells it
+
+
+def told_world(gateways=4, **more):
+    world = World(gateways=gateways, servers=12, plans=[Plan("hard", 40.0, 80.0, ceiling_rate=48.0, ceiling_burst=96.0)], **more)
+    world.run(5.0)  # stores that begin empty have filled
+    return world
+
+
+def test_joint_parts_go_by_the_sure_number_and_never_by_the_live_one():
+    world = told_world()
+    customer = world.customer()
+    world.call(customer, gateways=4)
+    account = customer.account
+    before = {name: (getattr(account, name).rate, getattr(account, name).depth) for name in ("share", "alone", "ceiling")}
+    world.gateway.fleet_told(2, 0, 4)  # a split in halves: two are seen, none has left
+    assert {name: (getattr(account, name).rate, getattr(account, name).depth) for name in before} == before
+    cold = world.gateway.upstreams.rivals
+    world.gateway.fleet_told(2, 0, 2)  # two have left for good
+    after = {name: getattr(account, name) for name in before}
+    assert after["share"].rate == 20.0 and after["alone"].rate == 40.0 * 0.75 and after["ceiling"].rate == 24.0
+    assert world.gateway.upstreams.rivals == cold / 2
+    world.gateway.fleet_told(8, 0, 8)  # growth: what was there for fewer is cut at once
+    assert account.share.level <= account.share.depth == 10.0 and account.ceiling.depth == 12.0
+    assert account.alone.depth == 80.0 * 1.5 / 8
+
+
+def test_a_customer_of_some_gateways_only_keeps_its_own_number():
+    world = told_world()
+    some, later = world.customer(1), world.customer(2)
+    world.call(some, gateways=3)
+    world.gateway.fleet_told(2, 0, 2)
+    world.call(later, gateways=3)
+    assert some.account.gateways == later.account.gateways == 3
+    assert later.account.share.rate == pytest.approx(40.0 / 3)
+    whole = world.customer(3)
+    world.call(whole, gateways=4)  # the whole fleet's, as the settings know it
+    assert whole.account.gateways == 2
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_with_a_silent_counter_two_halves_of_a_split_let_in_no_more_than_the_bound(seed):
+    """Four gateways, split two and two for 20 s: divided by `sure`, all together stay within 1.5 times the quota;
+    divided by the two that each sees (the baseline), they pass it."""
+    spent = {}
+    for hard in ("sure", "live"):
+        worlds = [World(seed=seed * 10 + n, gateways=4, servers=12, counter="silent", slot=n,
+                        plans=[Plan("hard", 40.0, 80.0)]) for n in range(4)]
+        for world in worlds:
+            world.run(8.0)  # stores that begin empty have filled
+            world.gateway.fleet_told(2, 0, 4 if hard == "sure" else 2)
+        chance, customers = random.Random(seed), [world.customer() for world in worlds]
+        for _ in range(200):
+            for world, customer in zip(worlds, customers):
+                for _ in range(chance.randrange(9)):
+                    world.call(customer, gateways=4)
+                world.run(0.1)
+                for one in list(world.out):
+                    world.end(one, Outcome.OK)
+        spent[hard] = sum(how == "proxied" for world in worlds for how, _ in world.answers.values())
+    bound = 1.5 * (40.0 * 20 + 80.0) + 2 * 4 * 1.0
+    assert 0.9 * 1.5 * 40.0 * 20 < spent["sure"] <= bound < spent["live"]
+
+
+def test_a_gateway_that_stood_still_sends_nothing_whose_time_is_over():
+    # Guards: stopped for 2 s and woken, the first event that freed a place had calls sent on after their client timeout,
+    # before the timers that would have ended them (found by the emulator's stall_limiters, rule 1).
+    world = World(servers=3, gateways=6, plans=[WIDE], counter_wait=0.0, routes=[Route("read", 2.0, 4.0)])
+    world.run(3.0)  # stores that begin empty have filled
+    calls = [world.call(world.customer(n), gateways=1) for n in range(30)]
+    out = list(world.out)
+    assert out and len(world.sent) < 30 - len(world.answers)  # some wait in the line
+    world.now, world.late = world.now + 10.0, True  # it stood still: nothing was called back
+    sent = len(world.sent)
+    world.end(out[0], Outcome.OK)  # a place is free; World.send asserts that a call's time is not over
+    assert len(world.sent) == sent
+    assert all(call in world.answers for call in calls if not call.tries)
