--- /dev/null
+++ b/brookhub/lab/judge.py
@@ -0,0 +1,118 @@
+"""The judge of a run on processes: reads only what clients and stand-ins recorded, never a limiter's log.
+
+Rules 1 to 3 for each call and try, rule 4 over the fleet's sum, quota and ceiling use of each customer.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from ..config.models import Experiment
+from ..stand_ins.server import Seen
+from .load import Asked
+
+SLACK = 0.25  # s beyond a time limit: 50 ms of the protocol page, the rest for this machine's threads under load
+RAN_NOT = ("turned away",)  # ends of a try that prove that nothing ran
+
+
+@dataclass
+class Outage:
+    """A limiter was away from `since` to `until` (s): killed, or stopped and woken (`stalled`)."""
+
+    limiter: int
+    since: float
+    until: float
+    stalled: bool = False
+
+    def touches(self, call: Asked) -> bool:
+        return call.limiter == self.limiter and self.since <= call.expires + SLACK and call.sent <= self.until + SLACK
+
+
+@dataclass
+class Verdict:
+    """What the judge found: breaks of each rule (texts), calls excused by an outage, use for each customer."""
+
+    broken: dict[int, list[str]] = field(default_factory=lambda: defaultdict(list))
+    excused: int = 0
+    use: dict[int, float] = field(default_factory=dict)  # units proxied, by customer
+    sent_units: dict[int, float] = field(default_factory=dict)  # units of calls that reached a server
+    cold: dict[tuple[int, int], int] = field(default_factory=dict)  # (server, whole s of the run) -> sends while cold
+
+    def counts(self) -> dict[int, int]:
+        return {rule: len(texts) for rule, texts in sorted(self.broken.items()) if texts}
+
+    def first(self) -> str | None:
+        return next((f"rule {rule}: {texts[0]}" for rule, texts in sorted(self.broken.items()) if texts), None)
+
+
+def judge(experiment: Experiment, asked: list[Asked], seen: list[Seen], outages: list[Outage], falls: int,
+          zones: dict[int, tuple[int, int]], began: float, hurt=lambda limiter, server, at: False) -> Verdict:
+    """`zones`: server -> (zone, cell). `hurt(limiter, server, at)`: whether that link was cut then (address, id, s):
+    a server behind a cut does not hear that a try was given up."""
+    verdict = Verdict()
+    fleet = experiment.fleet
+    calls = {one.id: one for one in asked}
+    for one in asked:
+        answers(one, outages, verdict)
+        if one.answers and one.answers[0][1] == "proxied":
+            verdict.use[one.customer] = verdict.use.get(one.customer, 0.0) + 1.0
+    tries: dict[int, list[Seen]] = defaultdict(list)
+    for one in sorted(seen, key=lambda one: one.at):
+        tries[one.call].append(one)
+        if one.drained_for is not None and one.drained_for > fleet.grace_s + SLACK:
+            verdict.broken[3].append(f"call {one.call} sent to server {one.server}, drained {one.drained_for:.2f} s before")
+        if one.cold:
+            key = (one.server, int(one.at - began))
+            verdict.cold[key] = verdict.cold.get(key, 0) + 1
+    for ident, own in tries.items():
+        if ident in calls:
+            call = calls[ident]
+            verdict.sent_units[call.customer] = verdict.sent_units.get(call.customer, 0.0) + 1.0
+            repeats(experiment, call, own, zones, verdict, hurt)
+    if falls:
+        verdict.broken[4] += [f"a cold server was pushed over ({falls} in all)"] * falls
+    return verdict
+
+
+def answers(one: Asked, outages: list[Outage], verdict: Verdict) -> None:
+    """Rule 1: one final answer by the client timeout, nothing after it."""
+    away = any(outage.touches(one) for outage in outages)
+    if len(one.answers) > 1:
+        verdict.broken[1].append(f"call {one.id} answered {len(one.answers)} times by n{one.limiter}")
+    if one.answers and one.answers[0][0] > one.expires + SLACK:
+        verdict.broken[1].append(f"call {one.id} answered {one.answers[0][0] - one.expires:.2f} s after its client "
+                                 f"timeout by n{one.limiter}")
+    elif not one.answers and one.end in ("closed", "none"):
+        if away:
+            verdict.excused += 1
+        else:
+            verdict.broken[1].append(f"call {one.id} lost by n{one.limiter} ({one.end})")
+
+
+def repeats(experiment: Experiment, call: Asked, tries: list[Seen], zones: dict, verdict: Verdict, hurt) -> None:
+    """Rule 2: no effect twice; one try out where second copies are off; no rate-limit after one that may have run."""
+    fleet, broken = experiment.fleet, verdict.broken[2]
+    route = fleet.routes[call.route]
+    ran: list[Seen] = []
+    for one in tries:
+        if not fleet.second_copies:
+            for before in tries[:tries.index(one)]:
+                out = before.how is None or before.ended > one.at + SLACK
+                if out and not hurt(before.limiter, before.server, one.at):
+                    broken.append(f"call {call.id}: a second try out at server {one.server} beside server {before.server}")
+        if ran and route.repeat == "non_idempotent":
+            broken.append(f"non-idempotent call {call.id} at server {one.server} after server {ran[0].server} may have run it")
+        elif ran and route.repeat == "tokened":
+            first = ran[0]
+            if one.at > first.at + route.window_s + SLACK:
+                broken.append(f"tokened call {call.id} repeated after its window: a second effect")
+            elif route.group == "zone" and zones[one.server][0] != zones[first.server][0]:
+                broken.append(f"tokened call {call.id} repeated outside its zone: a second effect")
+            elif route.group == "cell" and zones[one.server] != zones[first.server]:
+                broken.append(f"tokened call {call.id} repeated outside its cell: a second effect")
+        if one.how not in RAN_NOT:
+            ran.append(one)
+    safe = route.repeat == "idempotent" or (route.repeat == "tokened" and route.group == "all")
+    if ran and not safe and call.answers and call.answers[0][1] == "rate-limited":
+        broken.append(f"call {call.id} rate-limited after a try that may have run")
--- /dev/null
+++ b/brookhub/lab/processes.py
@@ -0,0 +1,455 @@
+"""The process lab: 2 to 16 processes of `brookhub run` on loopback, each link relayed, faults by script, judged.
+
+`ProcessLab(experiment, folder).play()` -> Outcome. Each limiter has an address of its own (127.0.x.1), dials every
+server, the counter and discovery over its own relays and, with membership on, its peers over a UDP mesh. Ends only
+the processes it started, by their ids. Docs: docs/process-lab.md. Times in s (monotonic).
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import resource
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+from time import monotonic, sleep
+from typing import Callable
+
+from ..config.models import Experiment, FaultSpec
+from ..emulator import Result
+from ..emulator.world import ServerModel
+from ..interface import State
+from ..links import Relays
+from ..stand_ins import CounterStandIn, DiscoveryStandIn, ModelServer, Timers, host
+from .judge import Outage, Verdict, judge
+from .load import Load
+from .startfiles import CELLS, start_file, zone
+
+MOST, LEAST = 16, 1  # processes: what 8 cores carry beside the load
+RESTART_AFTER = 1.0  # s a restarted limiter is away, as in the emulator
+READY_IN = 20.0  # s for a limiter to answer PING
+ENDS_IN = 6.0  # s for a limiter to end after SIGTERM, longer than its longest client timeout
+FIRST = 10  # limiter i has the addresses 127.0.(FIRST + i).*
+
+
+class LabError(RuntimeError):
+    """The lab can't play this: says why in one line."""
+
+
+def free_port(address: str, kind: int = socket.SOCK_STREAM) -> int:
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((address, 0))
+        return probe.getsockname()[1]
+
+
+@dataclass
+class Outcome:
+    """A run on processes: the emulator's result row, the judge's verdict, this machine's noise (s)."""
+
+    result: Result
+    verdict: Verdict
+    noise: dict
+
+    def metrics(self) -> dict:
+        return self.result.metrics() | {"excused": self.verdict.excused, "noise": self.noise}
+
+
+class Limiter:
+    """One process of the program, started again at the same address as often as asked."""
+
+    def __init__(self, lab: "ProcessLab", index: int):
+        self.lab, self.index = lab, index
+        self.address = f"127.0.{FIRST + index}.1"
+        self.at = (self.address, free_port(self.address))
+        self.udp = (self.address, free_port(self.address, socket.SOCK_DGRAM))
+        self.config = lab.folder / f"n{index}.json"
+        self.log_path = lab.folder / f"n{index}.log"
+        self.process: subprocess.Popen | None = None
+        self.starts = 0
+
+    def start(self) -> None:
+        self.starts += 1
+        self.lab.write_config(self)
+        environment = {name: value for name, value in os.environ.items() if not name.startswith("NODE_")}
+        with open(self.log_path, "a") as log:
+            self.process = subprocess.Popen([sys.executable, "-m", "brookhub"], stderr=log, stdout=log,
+                                            env={**environment, "NODE_CONFIG": str(self.config)})
+
+    def ready(self) -> bool:
+        with suppress(OSError, ValueError), socket.create_connection(self.at, 1.0) as sock:
+            sock.settimeout(1.0)
+            sock.sendall(b"*1\r\n$4\r\nPING\r\n")
+            return sock.recv(64) == b"+PONG\r\n"
+        return False
+
+    def alive(self) -> bool:
+        return self.process is not None and self.process.poll() is None
+
+    def hit(self, number: int) -> None:
+        if self.alive():
+            self.process.send_signal(number)
+
+    def end(self, number: int = signal.SIGKILL) -> None:
+        if self.process is not None:
+            self.hit(signal.SIGCONT)  # a stopped process would not hear SIGTERM
+            self.hit(number)
+            with suppress(subprocess.TimeoutExpired):
+                self.process.wait(ENDS_IN)
+            if self.alive():
+                self.process.kill()
+                self.process.wait()
+
+    def lines(self) -> list[dict]:
+        """Its structured log so far, all starts."""
+        found = []
+        for line in self.log_path.read_text(errors="replace").splitlines() if self.log_path.exists() else ():
+            with suppress(ValueError):
+                found.append(json.loads(line))
+        return found
+
+
+class ProcessLab:
+    """Everything one run needs; a context manager that ends all it started."""
+
+    def __init__(self, experiment: Experiment, folder: Path, seed: int | None = None):
+        fleet = experiment.fleet
+        if not LEAST <= fleet.limiters <= MOST:
+            raise LabError(f"{fleet.limiters} limiters: the process lab plays {LEAST} to {MOST}")
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (hard if hard != resource.RLIM_INFINITY else max(soft, 8192), hard))
+        self.experiment, self.folder = experiment, Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.seed = experiment.seed if seed is None else seed
+        self.rng = random.Random(f"lab/{self.seed}")
+        self.timers, self.relays, self.seen = Timers(), Relays(self.seed), []
+        self.outages: list[Outage] = []
+        self.cuts: list[tuple[str, int, float, float]] = []  # (limiter's address, server, since, until)
+        self.events: list[tuple[float, str]] = []
+        self.threads: list[threading.Thread] = []
+        self.errors: list[BaseException] = []
+        self.load: Load | None = None
+        now = monotonic()
+        self.servers: dict[int, ModelServer] = {}
+        self.next_server = 0
+        for _ in range(fleet.servers.count):
+            self.add_server(now - fleet.servers.warm_after_s - 1.0)
+        self.counter = CounterStandIn(delay=fleet.counter.delay_s)
+        self.discovery = DiscoveryStandIn([], dial=self.dial_of)
+        self.limiters = [Limiter(self, index) for index in range(fleet.limiters)]
+        self.links: dict[tuple[str, int], object] = {}  # (limiter's address, server) -> TcpLink
+        self.counter_links = {one.address: self.relays.tcp(f"counter/{one.index}", self.counter.at, one.address)
+                              for one in self.limiters}
+        self.discovery_links = {one.address: self.relays.tcp(f"discovery/{one.index}", self.discovery.at, one.address)
+                                for one in self.limiters}
+        for ident in self.servers:
+            self.link_server(ident)
+        self.discovery.hosts = [self.entry(one) for one in self.servers.values()]
+        self.mesh = self.relays.udp_mesh({f"n{one.index}": one.udp for one in self.limiters}) \
+            if fleet.membership.on else None
+
+    def __enter__(self) -> "ProcessLab":
+        return self
+
+    def __exit__(self, *_) -> None:
+        self.close()
+
+    # building
+
+    def add_server(self, up_since: float, place: int | None = None) -> ModelServer:
+        spec, ident = self.experiment.fleet.servers, self.next_server
+        zones, place = self.experiment.fleet.zones, self.next_server if place is None else place
+        model = ServerModel(ident, place % zones, (place // zones) % CELLS, spec.places, spec.queue, spec.service_s,
+                            spec.cold_from, spec.warm_after_s, spec.fall_multiple, spec.fall_for_s, spec.fall_within_s,
+                            up_since=up_since, error_share=spec.error_share)
+        self.next_server += 1
+        server = ModelServer(model, self.timers, random.Random(f"server/{self.seed}/{ident}"), self.seen)
+        self.servers[ident] = server
+        return server
+
+    def link_server(self, ident: int) -> None:
+        for one in self.limiters:
+            self.links[one.address, ident] = self.relays.tcp(f"n{one.index}/s{ident}", self.servers[ident].at, one.address)
+
+    def dial_of(self, limiter: str, name: str) -> str:
+        return self.links[limiter, int(name[2:])].address
+
+    def entry(self, server: ModelServer, health: str = "Ready") -> dict:
+        model = server.model
+        cold = monotonic() - model.up_since < model.warm_after
+        born = int((time.time() - (monotonic() - model.up_since)) * 1000) if cold else 0
+        return host(f"s-{model.id}", "", health, born, zone(model.zone), model.cell)
+
+    def write_config(self, one: Limiter) -> None:
+        membership = None
+        if self.mesh:
+            path = self.folder / f"n{one.index}.membership.toml"
+            path.write_text(self.peers_file(one))
+            membership = str(path)
+        told = start_file(self.experiment, one.index, random.Random(f"{self.seed}/{one.index}/{one.starts}").getrandbits(62),
+                          "%s:%d" % one.at, self.discovery_links[one.address].address,
+                          self.counter_links[one.address].address, membership)
+        one.config.write_text(json.dumps(told))
+
+    def peers_file(self, one: Limiter) -> str:
+        """The operator's membership file of a limiter: its own address, and each peer's as this one reaches it."""
+        spec = self.experiment.fleet.membership
+        lines = ['fleet = "lab"', f'name = "n{one.index}"', 'listen = "%s:%d"' % one.udp,
+                 f"period_s = {spec.period_s}"]
+        for other in self.limiters:
+            if other is not one:
+                lines += ["[[peers]]", f'name = "n{other.index}"',
+                          f'address = "{self.mesh.address(f"n{one.index}", f"n{other.index}")}"']
+        return "\n".join(lines) + "\n"
+
+    def start(self) -> None:
+        """Start every limiter and wait until all answer PING; raises LabError with the log of one that does not."""
+        for one in self.limiters:
+            one.start()
+        for one in self.limiters:
+            self.wait_ready(one)
+
+    def wait_ready(self, one: Limiter) -> None:
+        end = monotonic() + READY_IN
+        while not one.ready():
+            if monotonic() > end or not one.alive():
+                raise LabError(f"n{one.index} did not start: {one.log_path.read_text()[-800:]}")
+            sleep(0.05)
+
+    # faults
+
+    def note(self, text: str) -> None:
+        self.events.append((monotonic(), text))
+
+    def pick(self, items: list, share: float) -> list:
+        count = min(len(items), max(1, round(share * len(items)))) if share else 0
+        return self.rng.sample(items, count)
+
+    def after(self, seconds: float, callback: Callable[[], None]) -> None:
+        """Do something later in a thread of its own (it may wait for a process to end)."""
+        def job() -> None:
+            sleep(seconds)
+            try:
+                callback()
+            except BaseException as met:  # told at the end of the run: a fault that was not cleared voids it
+                self.errors.append(met)
+        thread = threading.Thread(target=job, daemon=True)
+        self.threads.append(thread)
+        thread.start()
+
+    def kill(self, one: Limiter, back_after: float | None = None, number: int = signal.SIGKILL) -> None:
+        """End a limiter's process; start it anew at its address `back_after` s after it is gone."""
+        outage = Outage(one.index, monotonic(), float("inf"))
+        if number == signal.SIGKILL:  # after SIGTERM all that was taken has to be answered: no outage excuses it
+            self.outages.append(outage)
+        one.end(number)
+        self.note(f"n{one.index} ended by signal {int(number)}")
+        if back_after is not None:
+            sleep(back_after)
+            one.start()
+            self.wait_ready(one)
+            outage.until = monotonic()
+            self.note(f"n{one.index} started again")
+
+    def stall(self, one: Limiter, seconds: float) -> None:
+        """SIGSTOP for so long, then SIGCONT."""
+        outage = Outage(one.index, monotonic(), monotonic() + seconds, stalled=True)
+        self.outages.append(outage)
+        one.hit(signal.SIGSTOP)
+        self.note(f"n{one.index} stopped")
+        sleep(seconds)
+        one.hit(signal.SIGCONT)
+        outage.until = monotonic()
+        self.note(f"n{one.index} woken")
+
+    def split(self, side: list[Limiter], on: bool) -> None:
+        names = {f"n{one.index}" for one in side}
+        self.mesh.split(names) if on else self.mesh.clear()
+        self.note(f"split {'made' if on else 'healed'}: {sorted(names)}")
+
+    def cut(self, one: Limiter, servers: list[int], way: str, seconds: float) -> None:
+        for ident in servers:
+            self.links[one.address, ident].set(way, cut=True)
+            self.cuts.append((one.address, ident, monotonic(), monotonic() + seconds))
+        sleep(seconds)
+        for ident in servers:
+            self.links[one.address, ident].clear()
+
+    def dead(self, ident: int) -> None:
+        """A server's machine refuses from now on, also through the relays."""
+        self.servers[ident].die()
+        for one in self.limiters:
+            self.links[one.address, ident].set(refuse=True)
+
+    def returned(self, idents: list[int]) -> None:
+        now = monotonic()
+        for ident in idents:
+            self.servers[ident].back(now)
+            for one in self.limiters:
+                self.links[one.address, ident].clear()
+        self.discovery.hosts = [self.entry(one) for one in self.servers.values() if one.model.state is State.READY]
+        self.discovery.tell(*[self.entry(self.servers[ident]) for ident in idents])
+
+    def drain(self, idents: list[int]) -> None:
+        for ident in idents:
+            model = self.servers[ident].model
+            model.state, model.drained_at = State.DRAINING, monotonic()
+        self.discovery.hosts = [self.entry(one) for one in self.servers.values() if one.model.state is State.READY]
+        self.discovery.tell(*[self.entry(self.servers[ident], "Terminating") for ident in idents])
+
+    def gone(self, idents: list[int], replace: bool) -> None:
+        fresh = []
+        for ident in idents:
+            self.servers[ident].model.state = State.GONE
+            self.dead(ident)
+            if replace:
+                fresh.append(self.add_server(monotonic(), place=ident).model.id)
+                self.link_server(fresh[-1])
+        self.discovery.hosts = [self.entry(one) for one in self.servers.values() if one.model.state is State.READY]
+        self.discovery.tell(*[self.entry(self.servers[ident], "Gone") for ident in idents],
+                            *[self.entry(self.servers[ident]) for ident in fresh])
+
+    def fault(self, fault: FaultSpec) -> None:
+        """Carry out one scripted fault now; what ends after `for_s` is cleared then."""
+        action, limiters = fault.action, [one for one in self.limiters if one.alive()]
+        ready = [ident for ident, one in self.servers.items() if one.model.state is State.READY]
+        self.note(f"fault {action} {fault.share} for {fault.for_s} s")
+        if action in ("kill_limiters", "restart_limiters", "term_limiters"):
+            number = signal.SIGTERM if action == "term_limiters" else signal.SIGKILL
+            for one in self.pick(limiters, fault.share):
+                back = None if action == "kill_limiters" else RESTART_AFTER
+                self.after(0.0, lambda one=one: self.kill(one, back, number))
+        elif action == "stall_limiters":
+            for one in self.pick(limiters, fault.share):
+                self.after(0.0, lambda one=one: self.stall(one, fault.for_s))
+        elif action in ("split_limiters", "cut_peers", "lose_packets"):
+            if not self.mesh:
+                raise LabError(f"{action}: the experiment's fleet has no membership, so no peer links")
+            if action == "lose_packets":
+                self.mesh.every(loss=fault.share, duplicate=fault.share, reorder=fault.share)
+            else:
+                side = {f"n{one.index}" for one in self.pick(self.limiters, fault.share)}
+                for (a, b), way in self.mesh.ways.items():
+                    out, into = a in side and b not in side, b in side and a not in side
+                    if (out and fault.way != "back") or (into and fault.way != "forward"):
+                        way.set(cut=True)
+            self.after(fault.for_s, self.mesh.clear)
+        elif action == "cut_links":
+            pairs: dict[str, list[int]] = {}
+            for address, ident in self.pick(sorted(self.links), fault.share):
+                pairs.setdefault(address, []).append(ident)
+            for one in self.limiters:
+                if one.address in pairs:
+                    self.after(0.0, lambda one=one: self.cut(one, pairs[one.address], fault.way, fault.for_s))
+        elif action in ("reset_links", "delay_links"):
+            changed = [self.links[key] for key in self.pick(sorted(self.links), fault.share)]
+            for link in changed:
+                link.set(fault.way, **({"reset": 1.0} if action == "reset_links" else {"delay": fault.delay_s}))
+            self.after(fault.for_s, lambda: [link.clear() for link in changed])
+        elif action in ("drain_servers", "replace_servers"):
+            drained = self.pick(ready, fault.share)
+            self.drain(drained)
+            self.after(fault.for_s, lambda: self.gone(drained, action == "replace_servers"))
+        elif action == "zone_lost":
+            lost = [ident for ident in ready if self.servers[ident].model.zone == fault.zone]
+            for ident in lost:
+                self.dead(ident)
+            self.after(fault.for_s, lambda: self.returned(lost))
+        elif action in ("slow_servers", "failing_servers"):
+            hit = [self.servers[ident].model for ident in self.pick(ready, fault.share)]
+            for model in hit:
+                model.mode, model.slow_factor = ("slow" if action == "slow_servers" else "failing"), fault.factor
+            self.after(fault.for_s, lambda: [setattr(model, "mode", "ok") for model in hit])
+        elif action == "counter_down":
+            self.counter.mode = "silent"
+            self.after(fault.for_s, lambda: setattr(self.counter, "mode", "ok"))
+        elif action == "counter_wipe":
+            self.counter.wipe()
+        elif action == "counter_split":
+            odd = {one.address for one in self.limiters if one.index % 2}
+            self.counter.split(lambda limiter: int(limiter in odd))
+            self.after(fault.for_s, self.counter.heal)
+        else:
+            raise LabError(f"{action}: not played on processes, only in the emulator")
+
+    # the run
+
+    def play(self, progress: Callable[[float], None] = lambda done: None) -> Outcome:
+        """Start all, play the arrivals and the faults, judge. `progress` hears the share that is done (0 to 1)."""
+        self.start()
+        load = self.load = Load(self.experiment, [one.at for one in self.limiters], self.seed)
+        began, seconds = monotonic(), self.experiment.duration_s
+        player = threading.Thread(target=load.run, args=(seconds,), daemon=True)
+        player.start()
+        todo = sorted(self.experiment.faults, key=lambda one: one.at_s)
+        while player.is_alive():
+            now = monotonic() - began
+            while todo and todo[0].at_s <= now:
+                self.fault(todo.pop(0))
+            progress(min(1.0, now / seconds))
+            player.join(0.05 if not todo else max(0.0, min(0.05, todo[0].at_s - now)))
+        for thread in self.threads:
+            thread.join(READY_IN)
+        if self.errors:
+            raise LabError(f"a fault could not be played or cleared: {self.errors[0]}")
+        return self.outcome(load, began)
+
+    def hurt(self, limiter: str, ident: int, at: float) -> bool:
+        return any(who == limiter and server == ident and since <= at <= until + 1.0
+                   for who, server, since, until in self.cuts) or any(
+                       outage.stalled and self.limiters[outage.limiter].address == limiter and
+                       outage.since <= at <= outage.until + 1.0 for outage in self.outages)
+
+    def outcome(self, load: Load, began: float) -> Outcome:
+        zones = {ident: (one.model.zone, one.model.cell) for ident, one in self.servers.items()}
+        falls = sum(one.model.falls for one in self.servers.values())
+        verdict = judge(self.experiment, load.asked, self.seen, self.outages, falls, zones, began, self.hurt)
+        result, counted = Result(), began + self.experiment.settle_s
+        for one in load.asked:
+            if one.sent < counted:
+                continue
+            result.calls += 1
+            how = one.answers[0][1] if one.answers else ""
+            if how == "proxied":
+                result.proxied += 1
+                result.latency.record_value(max(1, int((one.answers[0][0] - one.sent) * 1e6)))
+            elif how == "rate-limited":
+                result.rate_limited += 1
+            elif how == "errored":
+                result.errored += 1
+            elif one.end == "left":
+                result.left += 1
+            else:
+                result.lost += 1
+        result.tries, result.counter_calls, result.cold_falls = len(self.seen), self.counter.asked, falls
+        result.broken, result.first_break = verdict.counts(), verdict.first()
+        result.wall_s = monotonic() - began
+        overs = []
+        for customer, (plan_number, _) in enumerate(load.customers):
+            plan = self.experiment.fleet.plans[plan_number]
+            if plan.rate:
+                allowed = plan.burst + plan.rate * self.experiment.duration_s
+                overs.append(max(0.0, verdict.use.get(customer, 0.0) / allowed - 1.0))
+            if plan.ceiling_rate:
+                allowed = plan.ceiling_burst + plan.ceiling_rate * self.experiment.duration_s
+                over = max(0.0, verdict.use.get(customer, 0.0) / allowed - 1.0)
+                result.ceiling_overshoot = max(result.ceiling_overshoot, over)
+        result.quota_overshoot = sum(overs) / len(overs) if overs else 0.0
+        result.worst_overshoot = max(overs, default=0.0)
+        noise = {"arrivals_late_s": round(load.late, 4), "timers_late_s": round(self.timers.latest, 4)}
+        return Outcome(result, verdict, noise)
+
+    def close(self) -> None:
+        for one in self.limiters:
+            one.end()
+        self.relays.close()
+        for one in (self.counter, self.discovery, *self.servers.values()):
+            one.close()
+        self.timers.close()
