--- /dev/null
+++ b/brookhub/choices/__init__.py
@@ -0,0 +1,10 @@
+"""Choices that add up over a fleet, without I/O: who may use which servers, whose turn it is (docs/choices.md).
+
+Each is a function of names and of views alone, so that limiters with the same view choose alike without talking, and
+ones with other views do harm that is bounded.
+"""
+
+from .subsets import Subsets, size
+from .turns import Turns
+
+__all__ = ["Subsets", "Turns", "size"]
--- /dev/null
+++ b/brookhub/choices/subsets.py
@@ -0,0 +1,109 @@
+"""Who may use which servers: rendezvous hashing with bounded loads, as a stable matching.
+
+Each limiter ranks all servers by a keyed hash (weighted rendezvous); a server that more want than it has places for
+keeps those that rank it best. The stable matching of that (Gale and Shapley 1962) is unique, so it does not depend on any
+order, and one that comes or goes moves only those that it displaces. The bound is that of consistent hashing with
+bounded loads (Mirrokni, Thorup, Zadimoghaddam 2018).
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left, insort
+from heapq import heappush, heapreplace
+from math import ceil, floor, log
+from typing import Hashable, Sequence
+
+from .hashing import score
+
+LEAST = 12  # servers that a limiter uses at least: a few may be sick, and two of them are always compared
+COVER = 8.0  # limiters that a server has in the mean at least, where that needs larger subsets: fewer can't be even
+SLACK = 1.2  # times the mean (by weight) that a server has at most
+
+
+def size(limiters: int, servers: int, load: float = 0.0, least: int = LEAST) -> int:
+    """How many servers a limiter uses: `least`, as many as cover all servers evenly, or as its `load` needs (in
+    servers); never more than there are."""
+    cover = ceil(COVER * servers / max(1, limiters))
+    return min(servers, max(least, cover, ceil(load)))
+
+
+def capacities(weights: Sequence[float], pairs: int) -> list[int]:
+    """Places of each server: SLACK times its part of all pairs by weight, rounded down, yet not below that part."""
+    total = sum(weights)
+    return [max(ceil(pairs * weight / total - 1e-9), floor(SLACK * pairs * weight / total + 1e-9)) for weight in weights]
+
+
+class Subsets:
+    """The matching for `limiters` (names or numbers), kept up to date as servers come and go: only who is new is
+    hashed. Memory: a number for each limiter and server."""
+
+    def __init__(self, limiters: Sequence[Hashable], key: int = 0):
+        self.key, self.limiters = key, list(limiters)
+        self.ranks: dict[Hashable, list[tuple[float, Hashable]]] = {one: [] for one in self.limiters}
+        self.weights: dict[Hashable, float] = {}
+
+    def cost(self, limiter: Hashable, server: Hashable) -> float:
+        """A limiter's cost of a server, lowest first: -ln(u) / weight (weighted rendezvous)."""
+        return -log(score(self.key, limiter, server)) / self.weights[server]
+
+    def listed(self, weights: dict[Hashable, float]) -> None:
+        """The servers that there are now, with their weights (above 0)."""
+        if any(not weight > 0 for weight in weights.values()):
+            raise ValueError("a server's weight must be above 0")
+        gone = [one for one, weight in self.weights.items() if weights.get(one) != weight]
+        for limiter, ranked in self.ranks.items():
+            for server in gone:
+                del ranked[bisect_left(ranked, (self.cost(limiter, server), server))]
+        new = [one for one, weight in weights.items() if self.weights.get(one) != weight]
+        self.weights = dict(weights)
+        for limiter, ranked in self.ranks.items():
+            if len(new) > len(ranked) // 4:
+                ranked += [(self.cost(limiter, server), server) for server in new]
+                ranked.sort()
+            else:
+                for server in new:
+                    insort(ranked, (self.cost(limiter, server), server))
+
+    def join(self, limiter: Hashable) -> None:
+        self.limiters.append(limiter)
+        self.ranks[limiter] = sorted((self.cost(limiter, server), server) for server in self.weights)
+
+    def leave(self, limiter: Hashable) -> None:
+        self.limiters.remove(limiter)
+        del self.ranks[limiter]
+
+    def match(self, each: int) -> dict[Hashable, list]:
+        """limiter -> its `each` servers (or all, where there are no more), best ranked first; no server has more than its
+        capacity."""
+        servers = list(self.weights)
+        each = min(each, len(servers))
+        room = dict(zip(servers, capacities(list(self.weights.values()), len(self.limiters) * each))) if servers else {}
+        held: dict[Hashable, list] = {one: [] for one in servers}  # heaps, the worst ranked limiter first
+        asked, have, todo = dict.fromkeys(self.limiters, 0), dict.fromkeys(self.limiters, 0), list(self.limiters)
+        while todo:
+            one = todo.pop()
+            ranked, at, has = self.ranks[one], asked[one], have[one]
+            while has < each and at < len(servers):
+                cost, server = ranked[at]
+                heap = held[server]
+                if len(heap) < room[server]:
+                    heappush(heap, (-cost, one, at))
+                    has += 1
+                elif -heap[0][0] > cost:
+                    _, out, _ = heapreplace(heap, (-cost, one, at))
+                    has += 1
+                    have[out] -= 1
+                    todo.append(out)
+                at += 1
+            asked[one], have[one] = at, has
+        own: dict[Hashable, list] = {one: [] for one in self.limiters}
+        for server, heap in held.items():
+            for _, one, at in heap:
+                own[one].append((at, server))
+        return {one: [server for _, server in sorted(them)] for one, them in own.items()}
+
+    def order(self, limiter: Hashable, each: int) -> list:
+        """All servers as this limiter should take them: its own first, then the others by its ranking."""
+        own = self.match(each)[limiter]
+        mine = set(own)
+        return own + [server for _, server in self.ranks[limiter] if server not in mine]
