--- a/brookhub/lab/membership.py
+++ b/brookhub/lab/membership.py
@@ -139,9 +139,9 @@
     def when(line: dict) -> float:
         return datetime.fromisoformat(line["timestamp"].replace("Z", "+00:00")).timestamp()
 
-    def reached(holds, living, within: float = 15.0) -> float | None:
-        """s until the last of all `living` first logged a line after now that `holds`."""
-        began, end = time(), monotonic() + within
+    def reached(holds, living, within: float = 15.0, began: float | None = None) -> float | None:
+        """s until the last of all `living` first logged a line after `began` (now) that `holds`."""
+        began, end = began or time(), monotonic() + within
         while monotonic() < end:
             first = [min((when(line) for line in lines(one) if when(line) >= began and holds(line)), default=None) for one in living]
             if all(at is not None for at in first):
@@ -163,8 +163,9 @@
         victim.end()
         sleep(1.0)
         victim.start()
+        started = time()
         lab.wait_ready(victim)
-        row["back_s"] = reached(lambda line: line["present"] == limiters, rest)
+        row["back_s"] = reached(lambda line: line["present"] == limiters, rest, began=started)
         sleep(2.0)
         lab.split(lab.limiters[:limiters // 2], True)
         sleep(split_s)
