--- a/brookhub/lab/processes.py
+++ b/brookhub/lab/processes.py
@@ -52,14 +52,16 @@
 
 @dataclass
 class Outcome:
-    """A run on processes: the emulator's result row, the judge's verdict, this machine's noise (s)."""
+    """A run on processes: the emulator's result row, the judge's verdict, this machine's noise (s), the most tries that
+    the whole fleet sent one cold server in a second."""
 
     result: Result
     verdict: Verdict
     noise: dict
 
     def metrics(self) -> dict:
-        return self.result.metrics() | {"excused": self.verdict.excused, "noise": self.noise}
+        return self.result.metrics() | {"excused": self.verdict.excused, "noise": self.noise,
+                                        "cold_sends_most": max(self.verdict.cold.values(), default=0)}
 
 
 class Limiter:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -168,6 +168,31 @@
         assert until(all_hold(lab, 4), 5) and {fleet(one)["sure"] for one in lab.limiters} == {4}
     lab(script, 30.0, limiters=4)
 
+def test_a_fleet_goes_from_four_to_twelve_and_back_to_four_under_load(lab):
+    def script(lab):
+        few, many = lab.limiters[:4], lab.limiters[4:]
+
+        def together(work):
+            threads = [threading.Thread(target=work, args=(one,)) for one in many]
+            for one in threads:
+                one.start()
+            for one in threads:
+                one.join()
+
+        def back(one):
+            one.start()
+            lab.wait_ready(one)
+        assert until(all_hold(lab, 12), 6), present(lab)
+        for _ in range(2):
+            together(lambda one: lab.kill(one, None, signal.SIGTERM))  # planned: no call is lost, the judge sees to it
+            assert until(lambda: {fleet(one).get("sure") for one in few} == {4}, 12), [fleet(one) for one in few]
+            assert {fleet(one)["live"] for one in few} == {4} and {fleet(one)["rank"] for one in few} == set(range(4))
+            if _ == 0:
+                together(back)
+                assert until(all_hold(lab, 12), 6), present(lab)
+                assert {fleet(one)["sure"] for one in few} == {12}  # growth counts at once
+    lab(script, 60.0, limiters=12)
+
 
 # the operator's file, and where it is refused
 
