--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -154,6 +154,7 @@
             **{name: value for name, value in os.environ.items() if not name.startswith("NODE_")},
             "NODE_CONFIG": str(config)})
         assert until(self.ready, 20), self.log_path.read_text()
+        until(lambda: self.counter.open, 1)  # a first call decided without the counter's word may be refused
 
     def ready(self):
         with contextlib.suppress(OSError), self.dial() as sock:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -142,8 +142,10 @@
         sock.sendall(resp.command(b"CALL.GET", b"%016x" % 1, b"%016x" % n, b"c=look,t=wide,d=900"))
         return sock
 
-    held = [ask(n) for n in range(3)]
-    assert until(lambda: len(seen) == 3)
+    held = []
+    for n in range(3):  # one after another: each has a thread of its own, and the first two are to have the places
+        held.append(ask(n))
+        assert until(lambda: len(seen) == len(held))
     with ask(3) as fourth:  # two places, one in the queue, the next is turned away
         assert fourth.recv(100) == b"-BUSY\r\n"
     held[0].close()  # given up: its place comes free, who waits begins
