--- a/brookhub/choices/__init__.py
+++ b/brookhub/choices/__init__.py
@@ -4,7 +4,9 @@
 ones with other views do harm that is bounded.
 """
 
+from .carriers import TOPIC, ByCounter, ByPeers, Unusable, unpack
+from .signals import Signals
 from .subsets import Subsets, size
 from .turns import Turns
 
-__all__ = ["Subsets", "Turns", "size"]
+__all__ = ["TOPIC", "ByCounter", "ByPeers", "Signals", "Subsets", "Turns", "Unusable", "size", "unpack"]
--- /dev/null
+++ b/brookhub/choices/signals.py
@@ -0,0 +1,213 @@
+"""Shared signals: what one limiter found out about a server, told to all before each has paid for learning it.
+
+A limiter that a server failed says so; once WITNESSES of them did, all leave that server alone for a few seconds. Who holds
+the turn for it (turns.py) tries it once meanwhile: a failure keeps it away, a success has all come back. A word only ever
+lowers use: without any, and whenever one is withdrawn, each limiter decides by what it saw itself.
+
+Not believed: one that finds fault with more than DOUBTED of the servers (it is rather its own link), one that just woke
+(its tries timed out while it stood still). At most AWAY of all servers are left alone at a time, the best attested first.
+I/O-free: a Carrier brings words to the others, by membership or by the counter (carriers.py).
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Callable, Hashable, Protocol
+
+from .turns import GRACE, Turns
+
+SICK, WELL = 1, 2  # what a word says of a server; on the wire
+WITNESSES = 2  # limiters whose word it takes: one alone may be the one at fault
+FADE = 5.0  # s that a word counts; also the least time that a server is left alone: longer than a death takes to be known
+HOLD_MOST = 10.0  # s that it is left alone at most without a new word: a turn's epoch
+TRY_AT = 0.5  # of that time from which who holds the turn tries it: the rest is for a holder that has died
+TRY_FOR = 2.0  # s that such a try may be out until the next: about a client timeout
+DOUBTED, DOUBTED_LEAST = 0.25, 2  # share and number of the servers that one limiter may find fault with and be believed
+AWAY = 0.3  # share of all servers that signals leave alone at the most: what is left has to carry the load
+BEAT, STOPPED = 0.25, 1.0  # s between looks at the clock; s it may be late until this process counts as stopped
+PULSE = 0.02  # s that words wait for others to go with them: zones are lost at one stroke
+ENOUGH = 3  # witnesses beyond which one more is not told: a fleet that fails together would only shout
+
+
+class Carrier(Protocol):
+    """How words travel, and what time it is (s)."""
+
+    now: float
+
+    def later(self, seconds: float, callback: Callable[[], None]) -> None: ...
+    def say(self, words: list[tuple[int, int]]) -> None: ...
+
+
+@dataclass(eq=False)
+class Case:
+    """A server that words are out about: each witness's last word (s, by name), until when it is left alone (s)."""
+
+    by: dict[Hashable, float] = field(default_factory=dict)
+    since: float = 0.0  # when it was first left alone
+    until: float = 0.0  # 0: not left alone
+    hold: float = FADE
+    try_at: float = 0.0
+    allowed: bool = False  # within AWAY
+
+
+class Signals:
+    """One limiter's part. The decisions ask `shuns` and `due`, and tell `saw`, `tried` and `listed`; the carrier's side
+    tells `heard`, `attested` and `woke`. Servers by their ids, times in s."""
+
+    def __init__(self, carrier: Carrier, turns: Turns):
+        self.carrier, self.turns, self.me = carrier, turns, turns.me
+        self.cases: dict[int, Case] = {}
+        self.faults: dict[int, float] = {}  # servers that failed this limiter, when last
+        self.named: dict[Hashable, dict[int, float]] = {}  # witness -> servers it named, when
+        self.waiting: dict[int, int] = {}  # words that wait for the pulse
+        self.servers = self.told = self.refused = 0
+        self.quiet_until, self.beat_at = 0.0, carrier.now
+        carrier.later(BEAT, self.beat)
+
+    # what the decisions ask
+
+    def shuns(self, server: int) -> bool:
+        """Whether to send it nothing now, but what `due` allows."""
+        case = self.cases.get(server)
+        return bool(case and case.allowed and self.carrier.now < case.until)
+
+    def due(self, server: int) -> bool:
+        """Whether this limiter is to try a server that all leave alone: once, with a call that may run again."""
+        case, now = self.cases.get(server), self.carrier.now
+        return bool(case and case.allowed and case.try_at <= now < case.until and self.turns.mine(f"sick/{server}", now))
+
+    # what the decisions tell
+
+    def listed(self, count: int) -> None:
+        """How many servers there are."""
+        self.servers = count
+        self.weigh()
+
+    def tried(self, server: int) -> None:
+        """A try goes to it: if it was this one's turn, that was it for a while."""
+        if self.due(server):
+            self.cases[server].try_at = self.carrier.now + TRY_FOR
+
+    def saw(self, server: int, good: bool) -> None:
+        """How a try ended there, with nothing else to blame than the server or the way to it."""
+        self.awake()
+        now, case = self.carrier.now, self.cases.get(server)
+        if good:
+            self.faults.pop(server, None)
+            if case:  # it answers: a fault now and then is none, and one that got well is used by all at once
+                self.clear(server)
+                self.word(server, WELL)
+            return
+        self.faults[server] = now
+        if now < self.quiet_until or self.doubted(self.faults):
+            return
+        # One that enough others told of, where this was no try by turn: nothing that they don't know.
+        if not case or self.by_turn(case) or self.me not in case.by and len(self.fresh(case)) < ENOUGH:
+            self.word(server, SICK)
+        self.attest(server, self.me)
+
+    # what comes from the others
+
+    def heard(self, peer: Hashable, words: list[tuple[int, int]]) -> None:
+        """Words of one other limiter, just said."""
+        self.awake()
+        for server, what in words:
+            if what == WELL:
+                self.clear(server)
+                self.named.get(peer, {}).pop(server, None)
+            elif what == SICK:
+                named = self.named.setdefault(peer, {})
+                named[server] = self.carrier.now
+                if self.doubted(named):
+                    self.disbelieve(peer)
+                else:
+                    self.attest(server, peer)
+
+    def attested(self, server: int, witnesses: int) -> None:
+        """Word of so many witnesses, without names (the counter's)."""
+        for number in range(witnesses):
+            self.attest(server, ("counted", number))
+
+    def woke(self) -> None:
+        """This limiter was stopped: what its tries came to meanwhile says nothing of the servers."""
+        self.quiet_until = self.carrier.now + GRACE
+        self.turns.woke(self.carrier.now)
+        self.faults.clear()
+
+    # inside
+
+    def beat(self) -> None:
+        self.awake()
+        self.beat_at = self.carrier.now
+        self.carrier.later(BEAT, self.beat)
+
+    def awake(self) -> None:
+        """Whichever event comes first after a stop finds it out."""
+        if self.carrier.now - self.beat_at > STOPPED:
+            self.beat_at = self.carrier.now
+            self.woke()
+
+    def fresh(self, case: Case) -> list:
+        return [one for one, at in case.by.items() if self.carrier.now - at < FADE]
+
+    def doubted(self, named: dict[int, float]) -> bool:
+        for server in [one for one, at in named.items() if self.carrier.now - at >= FADE]:
+            del named[server]
+        return len(named) > max(DOUBTED_LEAST, DOUBTED * self.servers)
+
+    def disbelieve(self, peer: Hashable) -> None:
+        self.refused += 1
+        for case in self.cases.values():
+            case.by.pop(peer, None)
+            if case.until and len(case.by) < 1:
+                case.until = 0.0
+        self.weigh()
+
+    def by_turn(self, case: Case) -> bool:
+        """Whether a fault that is told now comes from a try by turn, not from what was out when the case began."""
+        return case.until > 0 and self.carrier.now >= case.until - case.hold * (1 - TRY_AT)
+
+    def attest(self, server: int, witness: Hashable) -> None:
+        now = self.carrier.now
+        case = self.cases.setdefault(server, Case())
+        if case.until and now >= case.until:  # it was left alone and came back: that case is over
+            case = self.cases[server] = Case()
+        case.by[witness] = now
+        needed = min(WITNESSES, len(self.turns.present))
+        if self.by_turn(case):  # still sick, says who tried: longer from now on
+            case.hold = min(HOLD_MOST, 2 * case.hold)
+            self.leave_alone(case)
+        elif not case.until and len(self.fresh(case)) >= needed:
+            case.since = now
+            self.leave_alone(case)
+        self.weigh()
+
+    def leave_alone(self, case: Case) -> None:
+        now = self.carrier.now
+        case.until, case.try_at = now + case.hold, now + TRY_AT * case.hold
+
+    def clear(self, server: int) -> None:
+        if self.cases.pop(server, None):
+            self.weigh()
+
+    def weigh(self) -> None:
+        """Which of them may be left alone: no more than AWAY of all, those with the most witnesses first."""
+        now = self.carrier.now
+        for server in [one for one, case in self.cases.items()
+                       if now >= case.until and all(now - at >= FADE for at in case.by.values())]:
+            del self.cases[server]
+        held = [(-len(case.by), case.since, server) for server, case in self.cases.items() if now < case.until]
+        room = int(AWAY * self.servers)
+        kept = {server for *_, server in sorted(held)[:room]}
+        for server, case in self.cases.items():
+            case.allowed = server in kept
+
+    def word(self, server: int, what: int) -> None:
+        if not self.waiting:
+            self.carrier.later(PULSE, self.pulse)
+        self.waiting[server] = what
+
+    def pulse(self) -> None:
+        words, self.waiting = list(self.waiting.items()), {}
+        self.told += len(words)
+        self.carrier.say(words)
--- a/brookhub/choices/turns.py
+++ b/brookhub/choices/turns.py
@@ -14,6 +14,7 @@
 from .hashing import score
 
 EPOCH = 10.0  # s that a turn lasts at the most: longer than a holder's death takes to be known
+KEPT = 256  # draws remembered: decisions ask for the same one many times
 GRACE = 1.0  # s after waking in which a limiter takes no turn: its view is as old as its sleep
 
 
@@ -24,11 +25,12 @@
     def __init__(self, key: int, me: Hashable, epoch: float = EPOCH):
         self.key, self.me, self.epoch = key, me, epoch
         self.present: list = [me]
+        self.drawn: dict = {}  # (matter, epoch) -> holders, as long as the view stays
         self.awake_at = -GRACE
 
     def told(self, present: Iterable[Hashable]) -> None:
         """The members that are there, this one among them or not."""
-        self.present = sorted({*present, self.me}, key=str)
+        self.present, self.drawn = sorted({*present, self.me}, key=str), {}
 
     def woke(self, now: float) -> None:
         """This limiter was stopped: it believes in no turn until its view is new."""
@@ -39,7 +41,11 @@
         step, so that not all change hands at once."""
         shift = score(self.key, "shift", matter)
         epoch = int(now / self.epoch + shift)
-        return sorted(self.present, key=lambda one: score(self.key, matter, epoch, one))[:most]
+        if (matter, epoch, most) not in self.drawn:
+            if len(self.drawn) >= KEPT:
+                self.drawn.clear()
+            self.drawn[matter, epoch, most] = sorted(self.present, key=lambda one: score(self.key, matter, epoch, one))[:most]
+        return self.drawn[matter, epoch, most]
 
     def mine(self, matter: Hashable, now: float, most: int = 1) -> bool:
         """Whether this limiter holds the matter now; not within GRACE s after it woke."""
--- a/brookhub/config/models.py
+++ b/brookhub/config/models.py
@@ -62,6 +62,7 @@
     on: bool = True
     delay_s: float = Field(0.002, ge=0)
     wait_s: float = Field(0.05, gt=0)
+    signals: bool = Field(False, description="limiters tell each other of sick servers by it; only in the emulator")
 
 
 class MembershipSpec(Strict):
@@ -69,6 +70,7 @@
 
     on: bool = False
     period_s: float = Field(0.25, gt=0, le=10, description="between two probes of a member")
+    signals: bool = Field(False, description="limiters tell each other of sick servers by it (docs/choices.md)")
     hard_by: Literal["sure", "live"] = Field("sure", description="live: a baseline in the emulator, joint parts by who is seen")
 
 
@@ -115,7 +117,7 @@
     action: Literal["kill_limiters", "restart_limiters", "term_limiters", "stall_limiters", "split_limiters",
                     "cut_peers", "lose_packets", "cut_links", "drain_servers", "replace_servers", "zone_lost",
                     "counter_down", "counter_wipe", "counter_split", "lose_answers", "slow_servers",
-                    "failing_servers", "reset_links", "delay_links"]
+                    "failing_servers", "silent_servers", "reset_links", "delay_links"]
     share: float = Field(0.1, ge=0, le=1)
     zone: int = Field(0, ge=0)
     for_s: float = Field(5.0, ge=0)
@@ -184,6 +186,7 @@
     name: str = Field(min_length=1, max_length=32, description="of this limiter, as the others list it")
     listen: Annotated[str, AfterValidator(endpoint)]
     period_s: float = Field(0.25, ge=0.05, le=10, description="between two probes; the same at all")
+    signals: bool = Field(False, description="tell each other of sick servers (docs/operators/choices.md)")
     peers: list[PeerSpec] = Field(min_length=1, max_length=1024)
 
     @model_validator(mode="after")
--- a/brookhub/emulator/fleet.py
+++ b/brookhub/emulator/fleet.py
@@ -14,6 +14,7 @@
 from hdrh.histogram import HdrHistogram
 
 from .. import policy
+from ..choices import TOPIC, ByCounter, ByPeers, Signals, Turns, unpack
 from ..config.models import Experiment, FaultSpec
 from ..interface import ApiCall, Group, Plan, Repeat, Route, State
 from .engine import Engine
@@ -46,6 +47,8 @@
     events: int = 0
     wall_s: float = 0.0
     cold_falls: int = 0
+    sent_to_bad: int = 0  # tries at servers that were slow, failing, silent or dead then
+    sent_to_cold: int = 0
     broken: dict = field(default_factory=dict)
     first_break: str | None = None
     digest: str = ""
@@ -64,7 +67,7 @@
             "p50_ms": self.latency.get_value_at_percentile(50) / 1000,
             "p99_ms": self.latency.get_value_at_percentile(99) / 1000,
             "quota_overshoot": self.quota_overshoot, "worst_overshoot": self.worst_overshoot,
-            "ceiling_overshoot": self.ceiling_overshoot, "cold_falls": self.cold_falls,
+            "ceiling_overshoot": self.ceiling_overshoot, "cold_falls": self.cold_falls, "sent_to_bad": self.sent_to_bad, "sent_to_cold": self.sent_to_cold,
             "counter_calls": self.counter_calls, "events": self.events, "wall_s": round(self.wall_s, 3),
             "events_per_s": round(self.events / self.wall_s) if self.wall_s else 0,
             "broken": dict(self.broken), "first_break": self.first_break, "digest": self.digest,
@@ -154,6 +157,11 @@
         seat.servers(self.entries(), whole=True)
         if self.net:
             self.join(seat)
+        if self.experiment.fleet.counter.signals:
+            carrier = ByCounter(seat, self.seed)
+            seat.signals = Signals(carrier, self.turns(seat))
+            carrier.serve(seat.signals)
+            seat.gateway.choices_told(seat.signals)
         return seat
 
     def join(self, seat: Seat) -> None:
@@ -161,13 +169,26 @@
         spec, count = self.experiment.fleet.membership, self.experiment.fleet.limiters
         seat.peer = peer = PeerSeat(self.net, f"n{seat.index}", told=lambda live, rank, sure: seat.gateway.fleet_told(
             live, rank, sure if spec.hard_by == "sure" else live))
+        if spec.signals:
+            turns = self.turns(seat)
+            peer.on_changed = lambda member, state: turns.told(peer.core.present)
+            peer.on_said = lambda source, topic, data: topic == TOPIC and signals.heard(source, unpack(data))
         peer.core = Membership(peer, FLEET, peer.name, [f"n{index}" for index in range(count)], self.seed, spec.period_s)
         if self.engine.now == 0.0:
             for member in peer.core.members.values():
                 member.state, member.incarnation = ALIVE, 0
             peer.core.present = set(peer.core.names)
+        if spec.signals:
+            turns.told(peer.core.present)
+            signals = seat.signals = Signals(ByPeers(peer, peer.core), turns)
+            seat.gateway.choices_told(signals)
         peer.core.start()
 
+    def turns(self, seat: Seat) -> Turns:
+        turns = Turns(self.seed, f"n{seat.index}")
+        turns.told(f"n{index}" for index in range(self.experiment.fleet.limiters))
+        return turns
+
     def entries(self) -> list[tuple]:
         return [model.entry() for model in self.servers.models.values() if model.state is not State.GONE]
 
@@ -235,6 +256,7 @@
         result = self.result
         result.tries += len(call.tries)
         if how == "proxied":
+            seat.served += 1
             result.proxied += 1
             result.latency.record_value(max(1, int((now - began) * 1e6)))
             call.who.proxied(now, call.units)
@@ -297,10 +319,10 @@
             for model in lost:
                 model.mode = "dead"
             engine.after(fault.for_s, lambda: self.returned(lost))
-        elif action in ("slow_servers", "failing_servers"):
+        elif action in ("slow_servers", "failing_servers", "silent_servers"):
             hit = self.pick(models, fault.share)
             for model in hit:
-                model.mode, model.slow_factor = ("slow" if action == "slow_servers" else "failing"), fault.factor
+                model.mode, model.slow_factor = action.removesuffix("_servers"), fault.factor
             engine.after(fault.for_s, lambda: [setattr(model, "mode", "ok") for model in hit])
         elif action == "counter_down":
             self.counter.down = True
@@ -403,6 +425,7 @@
         result.open = len(self.started)
         result.counter_calls = self.counter.calls
         result.cold_falls = sum(model.falls for model in self.servers.models.values())
+        result.sent_to_bad, result.sent_to_cold = self.servers.sent_to_bad, self.servers.sent_to_cold
         result.broken, result.first_break = dict(self.referee.broken), self.referee.first_break
         result.digest = self.referee.digest.hexdigest()
         overs = []
--- a/brookhub/emulator/limiter.py
+++ b/brookhub/emulator/limiter.py
@@ -20,11 +20,11 @@
     def __init__(self, fleet, index: int, zone: int, seed: int, terms: dict):
         self.fleet, self.engine, self.index, self.zone = fleet, fleet.engine, index, zone
         self.alive, self.closing, self.wakes = True, False, 0.0  # while stalled nothing of it runs; what came waits, in order
-        self.peer = None  # its membership's place, where the fleet has it
+        self.peer = self.signals = None  # its membership's place and its part in the shared signals, where the fleet has them
         self.cut: dict[int, float] = {}  # servers that its links do not reach, each until when (s)
         self.roster, self.customers = Roster(), Customers()
         self.calls: dict[int, ApiCall] = {}
-        self.logged = 0
+        self.logged = self.asked = self.served = 0
         self.gateway = fleet.decisions.Gateway(self, seed, **{**terms, "slot": index})
 
     @property
@@ -120,6 +120,7 @@
         if not self.alive:
             return self.fleet.lost(call)
         self.calls[call.id] = call
+        self.asked += 1
         self.fleet.referee.note("arrive", self.index, call.id, call.customer.id, call.route.name)
         self.gateway.arrived(call)
 
--- a/brookhub/emulator/peers.py
+++ b/brookhub/emulator/peers.py
@@ -44,9 +44,10 @@
     """One member's place: its MembershipPort. While stalled, timers and datagrams wait until it wakes; then the timers
     that are due come first and the datagrams after them, as where a loop looks at its timers before its sockets."""
 
-    def __init__(self, net: PeerNet, name: str, told=lambda live, rank, sure: None, changed=lambda member, state: None):
+    def __init__(self, net: PeerNet, name: str, told=lambda live, rank, sure: None, changed=lambda member, state: None,
+                 said=lambda peer, topic, data: None):
         self.net, self.engine, self.name, self.core = net, net.engine, name, None
-        self.on_told, self.on_changed = told, changed
+        self.on_told, self.on_changed, self.on_said = told, changed, said
         self.alive, self.wakes = True, 0.0
         net.seats[name] = self
 
@@ -82,6 +83,9 @@
     def changed(self, member: str, state: int) -> None:
         self.on_changed(member, state)
 
+    def said(self, peer: str, topic: int, data: bytes) -> None:
+        self.on_said(peer, topic, data)
+
     def kill(self) -> None:
         self.alive = False
         self.net.seats.pop(self.name, None)
--- a/brookhub/emulator/world.py
+++ b/brookhub/emulator/world.py
@@ -75,9 +75,12 @@
         self.engine, self.referee, self.rng = engine, referee, rng
         self.models = {model.id: model for model in models}
         self.lost_share = 0.0  # of answers lost on the way back, while a fault says so
+        self.sent_to_bad = self.sent_to_cold = 0
 
     def take(self, one, seat) -> None:
         model, now = self.models[one.server.id], self.engine.now
+        self.sent_to_bad += model.mode != "ok"
+        self.sent_to_cold += model.cold(now)
         if model.state is State.GONE or model.mode == "dead" or now < model.down_until:
             self.engine.after(CONNECT, lambda: seat.end_try(one, Outcome.UNCONNECTED))
         elif len(model.busy) < max(1, int(model.capacity(now))):
--- a/brookhub/lab/processes.py
+++ b/brookhub/lab/processes.py
@@ -204,7 +204,7 @@
         """The operator's membership file of a limiter: its own address, and each peer's as this one reaches it."""
         spec = self.experiment.fleet.membership
         lines = ['fleet = "lab"', f'name = "n{one.index}"', 'listen = "%s:%d"' % one.udp,
-                 f"period_s = {spec.period_s}"]
+                 f"period_s = {spec.period_s}", f"signals = {str(spec.signals).lower()}"]
         for other in self.limiters:
             if other is not one:
                 lines += ["[[peers]]", f'name = "n{other.index}"',
@@ -364,10 +364,10 @@
             for ident in lost:
                 self.dead(ident)
             self.after(fault.for_s, lambda: self.returned(lost))
-        elif action in ("slow_servers", "failing_servers"):
+        elif action in ("slow_servers", "failing_servers", "silent_servers"):
             hit = [self.servers[ident].model for ident in self.pick(ready, fault.share)]
             for model in hit:
-                model.mode, model.slow_factor = ("slow" if action == "slow_servers" else "failing"), fault.factor
+                model.mode, model.slow_factor = action.removesuffix("_servers"), fault.factor
             self.after(fault.for_s, lambda: [setattr(model, "mode", "ok") for model in hit])
         elif action == "counter_down":
             self.counter.mode = "silent"
--- a/brookhub/membership/__init__.py
+++ b/brookhub/membership/__init__.py
@@ -7,7 +7,7 @@
 from .baseline import Heartbeats
 from .core import Membership, MembershipPort
 from .members import ABSENT, ALIVE, DEAD, LEFT, SUSPECT, UNHEARD, WORDS
-from .messages import LARGEST, Unreadable, decode
+from .messages import LARGEST, WORD_MOST, Unreadable, decode
 
 __all__ = ["ABSENT", "ALIVE", "DEAD", "Heartbeats", "LARGEST", "LEFT", "Membership", "MembershipPort",
-           "SUSPECT", "UNHEARD", "Unreadable", "WORDS", "decode"]
+           "SUSPECT", "UNHEARD", "Unreadable", "WORDS", "WORD_MOST", "decode"]
--- a/brookhub/membership/core.py
+++ b/brookhub/membership/core.py
@@ -14,7 +14,7 @@
 
 from . import messages
 from .members import ABSENT, ALIVE, DEAD, LEFT, PRESENT, SUSPECT, UNHEARD, Member
-from .messages import ACK, HELLO, NACK, NEWS, PING, PING_FOR, TABLE, Message, encode, weight
+from .messages import ACK, HELLO, NACK, NEWS, PING, PING_FOR, TABLE, WORD, Message, encode, weight
 
 ANSWER = 0.4  # periods until a probe without an answer is made again, and by others
 HELPERS = 3  # members asked to probe for one: with 10% loss one in 25 such rounds fails
@@ -47,6 +47,7 @@
     def send(self, peer: str, data: bytes) -> None: ...
     def told(self, live: int, rank: int, sure: int) -> None: ...
     def changed(self, member: str, state: int) -> None: ...
+    def said(self, peer: str, topic: int, data: bytes) -> None: ...
 
 
 class Membership:
@@ -112,6 +113,13 @@
                 self.send(name, NEWS, room=PACKET)
             self.over = True
 
+    def say(self, topic: int, data: bytes, peers: Iterable[str] | None = None) -> None:
+        """Another part's word to these members, or to all that are present: one datagram each, lost like any other.
+        Raises ValueError for more than messages.WORD_MOST bytes."""
+        for name in sorted(self.present) if peers is None else peers:
+            if name in self.members and not self.over:
+                self.post(name, Message(self.fleet, messages.VERSION, WORD, self.name, topic, data=data))
+
     def received(self, peer: str, message: Message) -> None:
         """A message that came from the listed `peer`'s address."""
         if self.over:
@@ -135,6 +143,8 @@
             self.probe_for(peer, message)
         elif message.kind == NACK:
             self.nacks += message.number == self.probe_number
+        elif message.kind == WORD:
+            self.port.said(peer, message.number, message.data)
         elif message.kind == HELLO:
             self.table(peer, whole=True)  # with what is thought of it: only the member itself can put that right
         if table and message.number:  # it sent a part of its table: what is newer here goes back
@@ -385,7 +395,10 @@
             pieces += [self.piece(peer)] if self.members[peer].state != UNHEARD else []
         if kind != TABLE and not chosen:
             self.pick_news(pieces, room)
-        data = encode(Message(self.fleet, messages.VERSION, kind, self.name, number, about, pieces))
+        self.post(peer, Message(self.fleet, messages.VERSION, kind, self.name, number, about, pieces))
+
+    def post(self, peer: str, message: Message) -> None:
+        data = encode(message)
         self.counts["datagrams"] += 1
         self.counts["bytes"] += len(data)
         self.port.send(peer, data)
--- a/brookhub/membership/messages.py
+++ b/brookhub/membership/messages.py
@@ -1,6 +1,7 @@
 """The datagrams between limiters: msgpack by msgspec, checked for size before they are decoded.
 
-A message: fleet, version, kind, source, number, about, news. A piece of news: (name, state, incarnation, by), where
+A message: fleet, version, kind, source, number, about, news, data. A WORD is another part's: `number` is its topic, `data`
+its bytes, which that part checks. A piece of news: (name, state, incarnation, by), where
 `by` is who suspects. Types and ranges are checked by msgspec; what does not fit raises Unreadable.
 """
 
@@ -13,7 +14,8 @@
 VERSION = 1
 LARGEST = 1200  # bytes of a datagram: below any path's MTU, so none is split
 MOST_NEWS = 120  # pieces in a message: more do not fit LARGEST
-PING, PING_FOR, ACK, NACK, NEWS, TABLE, HELLO = range(1, 8)
+PING, PING_FOR, ACK, NACK, NEWS, TABLE, HELLO, WORD = range(1, 9)
+WORD_MOST = 1000  # bytes of a word: what other parts tell each other fits LARGEST with its head
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=32)]
 Maybe = Annotated[str, msgspec.Meta(max_length=32)]
@@ -32,11 +34,12 @@
 class Message(msgspec.Struct, array_like=True, frozen=True, gc=False):
     fleet: Name
     version: Number
-    kind: Annotated[int, msgspec.Meta(ge=1, le=7)]
+    kind: Annotated[int, msgspec.Meta(ge=1, le=8)]
     source: Name
     number: Number = 0
     about: Maybe = ""
     news: Annotated[list[Piece], msgspec.Meta(max_length=MOST_NEWS)] = []
+    data: Annotated[bytes, msgspec.Meta(max_length=WORD_MOST)] = b""
 
 
 _encoder, _decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -418,6 +418,10 @@
         return max(mean, now - self.tries[0].sent if self.tries else 0.0, 0.001)
 
 
+class Unshared:  # no word of other gateways: nothing is shunned, and nothing awaits this one's turn
+    shuns = due = tried = saw = listed = lambda self, *heard: False
+
+
 class Upstreams(Stage):  # chooses servers, sends, judges them, and decides on further tries
 
     def __init__(self, port, dice, line, zone, start, gateways, max_tries, may_cancel, horizon, cold):
@@ -428,6 +432,7 @@
         self.servers, self.best, self.best_at, self.sure_at, self.out = [], 0.0, 0.0, port.now + SOON, 0
         self.window, self.part, self.peers, self.rivals, self.warm, self.drawn_at = 0.0, [], gateways, gateways, 0, 0.0
         self.took, self.ends, self.further, self.helped, self.sends = (Fading() for _ in range(5))
+        self.choices = Unshared()
 
     def delay(self):  # seconds that an answer takes in the mean, 0 while none is known
         return self.took.read(self.port.now) / max(1e-6, self.ends.read(self.port.now))
@@ -442,6 +447,7 @@
                 server.view = Upstream(server, max(1.0, PLACES / self.peers), self.dice.roll(), self.port.now)
                 self.servers.append(server.view)
         self.servers.sort(key=lambda view: view.server.id)
+        self.choices.listed(len(self.servers))
         self.draw()
         self.line.pump()
 
@@ -453,11 +459,12 @@
         for view in self.servers[start:] + self.servers[:start]:
             if sound < size:
                 self.part.append(view)
-                sound += view.sound()
+                sound += view.sound() and not self.choices.shuns(view.server.id)
         self.peers = max(1.0, self.gateways * len(self.part) / max(1, count))
         self.rivals = max(1.0, self.sure * len(self.part) / max(1, count))
         self.window = self.window or max(1.0, PLACES * count / self.gateways)
         self.warm = sum(self.is_warm(view) for view in self.part)
+        self.part += [view for view in self.servers if self.choices.due(view.server.id) and view not in self.part]
 
     def is_warm(self, view):
         return not view.up_since or self.port.now - view.up_since >= self.warm_after
@@ -487,11 +494,13 @@
             self.draw()
         for view in self.part if self.out < self.window else ():
             server = view.server
-            if view.open(now) and self.group_allows(rq, server, ran) and (
+            # Whose turn it is tries a sick server for all, with a call that may run again.
+            due = self.choices.due(server.id) and rq.call.route.repeat is Repeat.IDEMPOTENT and not tried
+            if view.open(now) and (due or not self.choices.shuns(server.id)) and self.group_allows(rq, server, ran) and (
                     self.is_warm(view) or self.admits_cold(view)):
                 good = max(0.1, view.good, min(1.0, (now - view.seen) / MEMORY))  # long unseen: a new chance
                 cost = (len(view.tries) + 1) * view.delay(now, typical) / good * 4 ** tried.count(server)
-                cost *= (CROSS if server.zone != self.zone else 1.0) * (1 + 0.05 * self.dice.roll())
+                cost *= (not due) * (CROSS if server.zone != self.zone else 1.0) * (1 + 0.05 * self.dice.roll())
                 if best is None or cost < least:
                     best, least = view, cost
         return best
@@ -501,6 +510,7 @@
         rq.sent = True
         view.cold.level -= 1
         self.sends.add(self.port.now, 1)
+        self.choices.tried(view.server.id)
         self.further.add(self.port.now, 1 if rq.call.tries else 0)
         one = self.port.send(rq.call, view.server, self.horizon if rq.loan else 0.0)
         one.view = view
@@ -534,6 +544,7 @@
         if outcome is not Outcome.FULL:
             view.outcomes.extend([good] * (2 if outcome is Outcome.UNCONNECTED else 1))
             view.good = sum(view.outcomes) / OUTCOMES
+            self.choices.saw(view.server.id, good)
         for sums in (view, self) if good else ():
             sums.took.add(now, took)
             sums.ends.add(now, 1)
@@ -625,6 +636,11 @@
         self.upstreams.gateways, self.upstreams.sure = live, sure
         self.upstreams.draw()
 
+    def choices_told(self, choices):
+        """What the fleet knows together of its servers (choices.Signals); each decides alone without it."""
+        self.upstreams.choices = choices
+        choices.listed(len(self.upstreams.servers))
+
     def arrived(self, call):
         now, customer = self.port.now, call.customer
         if customer.account not in self.accounts:
--- a/brookhub/routing/peers.py
+++ b/brookhub/routing/peers.py
@@ -9,6 +9,9 @@
 from contextlib import suppress
 from time import monotonic
 
+from xxhash import xxh3_64_intdigest
+
+from ..choices import TOPIC, ByPeers, Signals, Turns, Unusable, unpack
 from ..membership import LARGEST, WORDS, Membership, Unreadable, decode
 from ..transport.threads import spawn
 
@@ -43,6 +46,12 @@
         self.dropped_told: dict[str, int] = {}
         self.saying, self.said_at = False, -SAYS
         self.numbers = (0, 0, 0)
+        self.turns = Turns(xxh3_64_intdigest(spec.fleet), spec.name)  # one key for a fleet, the same at all
+        self.signals = Signals(ByPeers(self, self.core), self.turns) if spec.signals else None
+        if self.signals:
+            port.gateway.choices_told(self.signals)
+            self.shunned: list[int] = []
+            self.look()
 
     def list(self, spec) -> None:
         self.by_name = {one.name: address(one.address) for one in spec.peers}
@@ -103,8 +112,29 @@
         self.soon()
 
     def changed(self, member: str, state: int) -> None:
+        self.turns.told(self.core.present)
         self.soon()
 
+    def said(self, peer: str, topic: int, data: bytes) -> None:
+        """Another part's word. What can't be read is counted; a topic that is off here is nobody's."""
+        if topic != TOPIC or not self.signals:
+            return
+        try:
+            self.signals.heard(peer, unpack(data))
+        except Unusable:
+            self.drop("unreadable")
+
+    def look(self) -> None:
+        """Log which servers the fleet leaves alone, where that changed."""
+        signals = self.signals
+        shunned = [server for server in signals.cases if signals.shuns(server)]
+        if shunned != self.shunned:
+            self.shunned = shunned
+            told, refused = signals.told, signals.refused
+            self.port.todo.append((lambda: self.log.info("servers left alone", servers=shunned[:NAMED],
+                                                         more=max(0, len(shunned) - NAMED), words=told, refused=refused),))
+        self.later(SAYS, self.look)
+
     # the log
 
     def soon(self) -> None:
