--- a/brookhub/choices/carriers.py
+++ b/brookhub/choices/carriers.py
@@ -43,7 +43,7 @@
 
 
 class ByPeers:
-    """Words to all members that are present. `clock` has `now` and `later`; `membership` has `say`."""
+    """Words to all members that are present. `clock` has `now`, `calendar` and `later`; `membership` has `say`."""
 
     def __init__(self, clock, membership):
         self.clock, self.membership = clock, membership
@@ -52,6 +52,10 @@
     def now(self) -> float:
         return self.clock.now
 
+    @property
+    def calendar(self) -> float:
+        return self.clock.calendar
+
     def later(self, seconds: float, callback: Callable[[], None]) -> None:
         self.clock.later(seconds, callback)
 
@@ -73,6 +77,8 @@
     def now(self) -> float:
         return self.port.now
 
+    calendar = now  # no turns between those that hear nothing of each other: each tries by itself
+
     def later(self, seconds: float, callback: Callable[[], None]) -> None:
         self.port.later(seconds, callback)
 
--- a/brookhub/choices/signals.py
+++ b/brookhub/choices/signals.py
@@ -30,9 +30,11 @@
 
 
 class Carrier(Protocol):
-    """How words travel, and what time it is (s)."""
+    """How words travel, and what time it is: `now` s on a clock that never jumps, `calendar` s since some moment that is the
+    same at all limiters, to within a small part of a turn."""
 
     now: float
+    calendar: float
 
     def later(self, seconds: float, callback: Callable[[], None]) -> None: ...
     def say(self, words: list[tuple[int, int]]) -> None: ...
@@ -74,7 +76,7 @@
     def due(self, server: int) -> bool:
         """Whether this limiter is to try a server that all leave alone: once, with a call that may run again."""
         case, now = self.cases.get(server), self.carrier.now
-        return bool(case and case.allowed and case.try_at <= now < case.until and self.turns.mine(f"sick/{server}", now))
+        return bool(case and case.allowed and case.try_at <= now < case.until and self.turns.mine(f"sick/{server}", now, self.carrier.calendar))
 
     # what the decisions tell
 
--- a/brookhub/choices/turns.py
+++ b/brookhub/choices/turns.py
@@ -19,8 +19,8 @@
 
 
 class Turns:
-    """Whose turn a matter is. `present` is this limiter's view, itself included; `clock` s are the same at all to
-    within a small part of EPOCH (else a matter has two holders for that part)."""
+    """Whose turn a matter is. `present` is this limiter's view, itself included. Epochs go by the calendar, the same at all
+    to within a small part of EPOCH: where it differs by d, a matter has two holders for d of every epoch, or none."""
 
     def __init__(self, key: int, me: Hashable, epoch: float = EPOCH):
         self.key, self.me, self.epoch = key, me, epoch
@@ -47,6 +47,7 @@
             self.drawn[matter, epoch, most] = sorted(self.present, key=lambda one: score(self.key, matter, epoch, one))[:most]
         return self.drawn[matter, epoch, most]
 
-    def mine(self, matter: Hashable, now: float, most: int = 1) -> bool:
-        """Whether this limiter holds the matter now; not within GRACE s after it woke."""
-        return now - self.awake_at >= GRACE and self.me in self.holders(matter, now, most)
+    def mine(self, matter: Hashable, now: float, calendar: float | None = None, most: int = 1) -> bool:
+        """Whether this limiter holds the matter; not within GRACE s after it woke. `now` s on its own clock, `calendar` s
+        on the one that all share (the same where it is not named)."""
+        return now - self.awake_at >= GRACE and self.me in self.holders(matter, now if calendar is None else calendar, most)
--- a/brookhub/emulator/peers.py
+++ b/brookhub/emulator/peers.py
@@ -55,6 +55,8 @@
     def now(self) -> float:
         return self.engine.now
 
+    calendar = now
+
     def later(self, seconds: float, callback: Callable[[], None]) -> None:
         self.engine.after(seconds, lambda: self.when_awake(callback))
 
--- a/brookhub/lab/load.py
+++ b/brookhub/lab/load.py
@@ -42,6 +42,8 @@
     retry_after: float = 0.0
     end: str = ""
     ended: float = 0.0
+    again: float = 0.0  # when its client asked once more, its connection having ended
+    before: int = -1  # the limiter that it had asked before that
 
 
 class Connection:
@@ -207,6 +209,7 @@
             except (OSError, ValueError):
                 conn.close()
                 if used and not again:
+                    one.again, one.before = monotonic(), one.limiter
                     continue  # the close of an idle connection crossed the call: once more, on a new one
                 one.end = "closed"
                 return
--- a/brookhub/routing/peers.py
+++ b/brookhub/routing/peers.py
@@ -7,7 +7,7 @@
 
 import socket
 from contextlib import suppress
-from time import monotonic
+from time import monotonic, time
 
 from xxhash import xxh3_64_intdigest
 
@@ -46,6 +46,7 @@
         self.dropped_told: dict[str, int] = {}
         self.saying, self.said_at = False, -SAYS
         self.numbers = (0, 0, 0)
+        self.ahead = time() - monotonic()  # of the calendar; looked at again with each log line
         self.turns = Turns(xxh3_64_intdigest(spec.fleet), spec.name)  # one key for a fleet, the same at all
         self.signals = Signals(ByPeers(self, self.core), self.turns) if spec.signals else None
         if self.signals:
@@ -94,6 +95,10 @@
     def now(self) -> float:
         return self.port.now
 
+    @property
+    def calendar(self) -> float:
+        return self.port.now + self.ahead
+
     def later(self, seconds: float, callback) -> None:
         self.port.later(seconds, callback)
 
@@ -126,7 +131,7 @@
 
     def look(self) -> None:
         """Log which servers the fleet leaves alone, where that changed."""
-        signals = self.signals
+        signals, self.ahead = self.signals, time() - monotonic()
         shunned = [server for server in signals.cases if signals.shuns(server)]
         if shunned != self.shunned:
             self.shunned = shunned
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -46,6 +46,8 @@
     def now(self):
         return self.crowd.now
 
+    calendar = now
+
     def later(self, seconds, callback):
         self.crowd.order += 1
         self.crowd.alarms.append((self.crowd.now + seconds, self.crowd.order, self.name, callback))
