--- a/brookhub/cli.py
+++ b/brookhub/cli.py
@@ -13,7 +13,7 @@
 
 import click
 
-from .config import ConfigError, Experiment, GatewayFile, MembershipFile, load
+from .config import ConfigError, Experiment, GatewayFile, MembershipFile, PlanFile, load
 from .program import log
 
 DEFAULT = "limiters"  # the embedded experiment of `brookhub emulate` without a file
@@ -52,7 +52,7 @@
 
 @main.command("check-config")
 @click.argument("path", type=click.Path(dir_okay=False))
-@click.option("--kind", type=click.Choice(["auto", "experiment", "gateway", "membership"]), default="auto", show_default=True)
+@click.option("--kind", type=click.Choice(["auto", "experiment", "gateway", "membership", "plan"]), default="auto", show_default=True)
 def check_config(path: str, kind: str) -> None:
     """Check a configuration file; one line naming key and line for the first fault, exit 2."""
     if kind == "auto":
@@ -60,12 +60,14 @@
             text = Path(path).read_text(errors="replace")
         except OSError as broken:
             refuse(ConfigError(path, "", 0, broken.strerror or str(broken)))
-        kind = "experiment" if "[fleet" in text else "membership" if "[[peers]]" in text else "gateway"
+        kind = "experiment" if "[fleet" in text else "membership" if "[[peers]]" in text else "plan" if "[[machines]]" in text else "gateway"
     try:
         if kind == "experiment":
             load(path, Experiment)
         elif kind == "membership":
             load(path, MembershipFile)
+        elif kind == "plan":
+            load(path, PlanFile)
         elif path.endswith(".json"):
             from .program import startfile
             startfile.read({"NODE_CONFIG": path})
@@ -242,6 +244,106 @@
     click.echo(f"plot: {measuring.plot(rows, folder / 'choices.png')}")
 
 
+@lab.command()
+@click.option("--out", type=click.Path(file_okay=False), default="lab/together", show_default=True)
+@click.option("--seed", "seeds", type=int, multiple=True, help="may be given often (default: 1 to 4)")
+@click.option("--processes", type=int, help="worker processes (default: one a core)")
+def together(out: str, seeds: tuple[int, ...], processes: int | None) -> None:
+    """Measure signals and turns in the emulator: bad and cold servers, fairness; tables and a plot."""
+    from .lab import together as measuring
+    folder = Path(out)
+    with click.progressbar(length=1000, label="together", file=sys.stderr) as bar:
+        rows = measuring.measure(folder, list(seeds or range(1, 5)), processes, lambda done: bar.update(int(done * 1000) - bar.pos))
+    click.echo(measuring.table(rows))
+    click.echo(f"plot: {measuring.plot(rows, folder / 'together.png')}")
+
+
+@lab.command("maintenance")
+@click.option("--out", type=click.Path(file_okay=False), default="lab/maintenance", show_default=True)
+@click.option("--seeds", type=int, default=1000, show_default=True, help="runs with random faults")
+@click.option("--processes", type=int, help="worker processes (default: one a core)")
+def lab_maintenance(out: str, seeds: int, processes: int | None) -> None:
+    """Plans of work on 200 emulated limiters under random faults, against a timetable and no agreement; tables and a plot."""
+    from .lab import maintenance as measuring
+    folder = Path(out)
+    with click.progressbar(length=1000, label="maintenance", file=sys.stderr) as bar:
+        rows = measuring.measure(folder, seeds, processes, lambda done: bar.update(int(done * 1000) - bar.pos))
+    click.echo(measuring.table(rows))
+    click.echo(f"plot: {measuring.plot(rows, folder / 'maintenance.png')}")
+
+
+@lab.command("check")
+@click.option("--voters", type=int, default=3, show_default=True)
+@click.option("--most", type=int, default=1, show_default=True, help="machines out at once")
+@click.option("--joins/--no-joins", default=False, help="the last voter joins while the plan runs")
+@click.option("--deviations", type=int, default=2, show_default=True, help="faults and delays on one trail at the most")
+@click.option("--depth", type=int, default=40, show_default=True)
+@click.option("--seconds", type=float, default=120.0, show_default=True)
+@click.option("--messages", is_flag=True, help="message by message instead of in rounds")
+@click.option("--planted", type=click.Choice(["none", "counted votes", "no look at the lease", "no abstaining"]), default="none")
+def check_model(voters: int, most: int, joins: bool, deviations: int, depth: int, seconds: float, messages: bool, planted: str) -> None:
+    """Check the maintenance core over its states: faults at every step, up to so many; exit 1 with the trail where it breaks."""
+    from .checker import PLANTED, Model, Register, search
+    model = Model(voters, most, machines=1 + most, joins=joins, rounds=not messages, register=PLANTED.get(planted, Register))
+    found = search(model, deviations, depth, seconds=seconds, states=50_000_000)
+    click.echo(f"{found.states} states, {found.deviations} deviations, depth {found.depth}, {found.seconds:.0f} s, "
+               f"{'all within the bounds' if found.complete else 'cut off by the time'}")
+    if found.broken:
+        click.echo(f"broken: {found.broken}")
+        for number, action in enumerate(found.trail):
+            click.echo(f"{number:4} {' '.join(map(str, action))}")
+        sys.exit(1)
+    held = [model.ends(state) for state in found.ends[:50]]
+    click.echo(f"from {held.count('')} of {len(held)} states, faults over, the plan came to its end")
+    sys.exit(0 if held.count("") == len(held) else 1)
+
+
+@main.group()
+def maintenance() -> None:
+    """Plans of work on machines: check one, see its order, see from the logs how far it is."""
+
+
+def plan_of(path: str):
+    from .program import startfile
+    try:
+        load(path, PlanFile)
+    except ConfigError as broken:
+        refuse(broken)
+    start = type("Named", (), {"maintenance": path})
+    return startfile.plan(start)
+
+
+@maintenance.command()
+@click.argument("path", type=click.Path(dir_okay=False))
+def check(path: str) -> None:
+    """Check a plan; prints its version and digest, or one line on its first fault (exit 2)."""
+    plan = plan_of(path)
+    click.echo(f"{path}: a good plan, version {plan.version}, digest {plan.digest()}, {len(plan.machines)} machines, "
+               f"{plan.most_out} out at once, a majority of {len(plan.voters)} voters permits")
+
+
+@maintenance.command("plan")
+@click.argument("path", type=click.Path(dir_okay=False))
+@click.option("--work", type=float, default=600.0, show_default=True, help="s that work on a machine takes, for the time in all")
+def plan_(path: str, work: float) -> None:
+    """The order in which a plan takes its machines out, without load or failures, and the least time that it needs."""
+    from .maintenance import order
+    plan = plan_of(path)
+    for number, one in enumerate(order(plan, {}, frozenset()), 1):
+        on = ", ".join([*one.servers, *([f"limiter {one.limiter}"] if one.limiter else [])])
+        click.echo(f"{number:3} {one.name}  zone {one.zone or '-'}  capacity {one.capacity:g}  {on}")
+    rounds = -(-len(plan.machines) // plan.most_out)
+    click.echo(f"at least {rounds * (work + plan.fill_s):.0f} s with {work:.0f} s of work on each")
+
+
+@maintenance.command()
+@click.argument("logs", type=click.Path(dir_okay=False, exists=True), nargs=-1, required=True)
+def status(logs: tuple[str, ...]) -> None:
+    """How far a plan is, from the logs of one limiter or more (JSON lines): machines, steward, why it is halted."""
+    from .lab.maintenance import read_status
+    click.echo(read_status([Path(one) for one in logs]))
+
+
 @main.command()
 def version() -> None:
     """The program's version."""
--- a/brookhub/config/models.py
+++ b/brookhub/config/models.py
@@ -200,6 +200,55 @@
         return self
 
 
+class MachineSpec(Strict):
+    """A machine to be taken out for work: servers on it by their names in discovery's list, a limiter by its name among the
+    peers, or both."""
+
+    name: str = Field(min_length=1, max_length=32)
+    zone: str = Field("", max_length=32)
+    capacity: float = Field(1.0, gt=0, description="in one unit for all machines")
+    servers: list[str] = Field(default_factory=list, max_length=64)
+    limiter: str = Field("", max_length=32)
+
+    @model_validator(mode="after")
+    def _something_on_it(self) -> "MachineSpec":
+        if not self.servers and not self.limiter:
+            raise ValueError("a machine has servers, a limiter, or both")
+        return self
+
+
+class PlanFile(Strict):
+    """The operator's plan of work on machines (deploy/maintenance.example.toml). Off unless the start file names it."""
+
+    version: int = Field(ge=1, le=2 ** 40, description="raised with every change; two plans of one version are a conflict")
+    voters: list[str] = Field(min_length=1, max_length=9, description="limiters whose majority permits; the same in every version")
+    voters_next: list[str] = Field(default_factory=list, max_length=9, description="who votes instead, once the plan runs")
+    most_out: int = Field(1, ge=1, le=16, description="machines out at once")
+    most_zone: int = Field(1, ge=1, le=16, description="of one zone")
+    capacity_least: float = Field(0.5, ge=0, lt=1, description="share of all capacity that must stay")
+    served_least: float = Field(0.0, ge=0, le=1, description="share of the fleet's API calls, below which the plan halts; 0: not looked at")
+    answer_most_s: float = Field(0.0, ge=0, description="mean time of an answer, above which it halts; 0: not looked at")
+    work_most_s: float = Field(3600.0, gt=0, description="that work on a machine may take")
+    start_within_s: float = Field(60.0, gt=0, description="from \"safe to work\" until the machine has to be gone from the list")
+    fill_s: float = Field(30.0, ge=0, description="that one that came back is filled before the next goes out")
+    pause_s: float = Field(5.0, ge=0)
+    resume: int = Field(0, ge=0, description="raised to go on after a halt at once")
+    machines: list[MachineSpec] = Field(min_length=1, max_length=256)
+
+    @model_validator(mode="after")
+    def _each_once(self) -> "PlanFile":
+        for what, names in (("machine", [one.name for one in self.machines]), ("voter", self.voters),
+                            ("server", [name for one in self.machines for name in one.servers]),
+                            ("limiter", [one.limiter for one in self.machines if one.limiter])):
+            twice = next((one for one in names if names.count(one) > 1), None)
+            if twice is not None:
+                raise ValueError(f"the {what} {twice} is there twice")
+        total, largest = sum(one.capacity for one in self.machines), max(one.capacity for one in self.machines)
+        if total - largest < self.capacity_least * total:
+            raise ValueError(f"the largest machine can never go out: {total - largest:g} of {total:g} would be left")
+        return self
+
+
 class GatewayFile(Strict):
     """The gateway's start file in TOML: the same keys as the JSON start file (README), checked."""
 
@@ -211,6 +260,7 @@
     limits: Limits = Limits()
     known: Any = None
     membership: str | None = Field(None, description="path of the file of peers; off where it is not named")
+    maintenance: str | None = Field(None, description="path of the plan of work; off where it is not named, and without peers")
     settings: dict[str, Any]
 
     def start_json(self) -> dict:
--- a/brookhub/emulator/fleet.py
+++ b/brookhub/emulator/fleet.py
@@ -369,6 +369,15 @@
     def unlose(self) -> None:
         self.servers.lost_share = self.counter.lost_share = 0.0
 
+    def keep_off(self, index: int, servers: set[int]) -> None:
+        """A plan of work has a limiter send nothing to these, whatever the list says."""
+        seat = self.seats[index]
+        told = [(*entry[:4], State.DRAINING if entry[0] in servers and entry[4] is State.READY else entry[4], *entry[5:])
+                for entry in self.entries() if entry[0] in seat.off ^ servers]
+        seat.off = set(servers)
+        if seat.alive and told:
+            seat.gateway.servers_told(seat.roster.update(told, whole=False))
+
     def restart(self, index: int) -> None:
         seat = self.seats[index] = self.launch(index)
         self.discovery.seats = self.seats
--- a/brookhub/emulator/limiter.py
+++ b/brookhub/emulator/limiter.py
@@ -7,7 +7,7 @@
 
 from typing import Callable
 
-from ..interface import ApiCall, Outcome, Server, Told, UpstreamTry
+from ..interface import ApiCall, Outcome, Server, State, Told, UpstreamTry
 from ..roster import Customers, Roster
 
 
@@ -21,6 +21,7 @@
         self.fleet, self.engine, self.index, self.zone = fleet, fleet.engine, index, zone
         self.alive, self.closing, self.wakes = True, False, 0.0  # while stalled nothing of it runs; what came waits, in order
         self.peer = self.signals = None  # its membership's place and its part in the shared signals, where the fleet has them
+        self.off: set[int] = set()  # servers that a plan of work keeps it off
         self.cut: dict[int, float] = {}  # servers that its links do not reach, each until when (s)
         self.roster, self.customers = Roster(), Customers()
         self.calls: dict[int, ApiCall] = {}
@@ -111,7 +112,9 @@
 
     def servers(self, entries: list[tuple], whole: bool) -> None:
         if self.alive:
-            self.gateway.servers_told(self.roster.update(entries, whole))
+            off = [(*entry[:4], State.DRAINING, *entry[5:]) if entry[0] in self.off and entry[4] is State.READY else entry
+                   for entry in entries]
+            self.gateway.servers_told(self.roster.update(off, whole))
 
     def arrive(self, call: ApiCall) -> None:
         if self.engine.now < self.wakes:  # it waits in the system; woken too late, its connection is ended unread
--- a/brookhub/lab/processes.py
+++ b/brookhub/lab/processes.py
@@ -197,9 +197,19 @@
             membership = str(path)
         told = start_file(self.experiment, one.index, random.Random(f"{self.seed}/{one.index}/{one.starts}").getrandbits(62),
                           "%s:%d" % one.at, self.discovery_links[one.address].address,
-                          self.counter_links[one.address].address, membership)
+                          self.counter_links[one.address].address, membership,
+                          str(self.plan_path(one)) if membership else None)
         one.config.write_text(json.dumps(told))
 
+    def plan_path(self, one: Limiter) -> Path:
+        """Where a limiter looks for a plan of work; nothing is there until somebody gives it one."""
+        return self.folder / f"n{one.index}.plan.toml"
+
+    def give_plan(self, one: Limiter, text: str) -> None:
+        """As an operator does: the file, then SIGHUP."""
+        self.plan_path(one).write_text(text)
+        one.hit(signal.SIGHUP)
+
     def peers_file(self, one: Limiter) -> str:
         """The operator's membership file of a limiter: its own address, and each peer's as this one reaches it."""
         spec = self.experiment.fleet.membership
@@ -294,6 +304,7 @@
         now = monotonic()
         for ident in idents:
             self.servers[ident].back(now)
+            self.servers[ident].model.state, self.servers[ident].model.drained_at = State.READY, None
             for one in self.limiters:
                 self.links[one.address, ident].clear()
         self.discovery.hosts = [self.entry(one) for one in self.servers.values() if one.model.state is State.READY]
--- a/brookhub/lab/startfiles.py
+++ b/brookhub/lab/startfiles.py
@@ -37,9 +37,10 @@
 
 
 def start_file(experiment: Experiment, index: int, seed: int, listen: str, discovery: str, counter: str,
-               membership: str | None = None) -> dict:
-    """The whole JSON start file of limiter `index`; `membership` names its file of peers."""
+               membership: str | None = None, maintenance: str | None = None) -> dict:
+    """The whole JSON start file of limiter `index`; `membership` names its file of peers,
+    `maintenance` its plan (which may come later)."""
     told = {"name": f"n{index}", "listen": listen, "discovery": discovery, "counter": counter, "seed": f"{seed:x}",
             "limits": {"memory_mb": 192, "sockets": 1024},
             "settings": settings(experiment, index, peer_messages=membership is not None)}
-    return told | ({"membership": membership} if membership else {})
+    return told | ({"membership": membership} if membership else {}) | ({"maintenance": maintenance} if maintenance else {})
--- /dev/null
+++ b/brookhub/lab/together.py
@@ -0,0 +1,229 @@
+"""Measures what limiters do together: a bad server found, cold servers filled, fairness while the fleet grows; in the emulator.
+
+One row a job (JSON lines): {"key", "what", "way", "limiters", "seed", ...figures}; a folder half played goes on where it
+stopped. `signals` off is the baseline in the same run. Times s (simulated). docs/choices.md reads the plot and the tables.
+"""
+
+from __future__ import annotations
+
+import json
+import multiprocessing
+import os
+from importlib import resources
+from pathlib import Path
+from typing import Callable
+
+from ..config import Experiment, loads
+from ..emulator import Fleet
+
+RESULTS = "together.jsonl"
+WAYS = ("none", "counter", "peers")  # how words travel
+BAD_AT, BAD_FOR, RUN = 3.0, 20.0, 24.0  # s: when a server turns bad, for how long, the run
+FEW, MANY, GROWS, SHRINKS = 40, 200, 5.0, 15.0  # limiters before and after, s when they come and go
+TURN = 5.0  # s over which they do
+
+
+def base(limiters: int, way: str, **servers) -> dict:
+    """The embedded experiment's fleet of 60 servers with membership, at the load of its plans."""
+    raw = loads(resources.files("brookhub.lab").joinpath("default.toml").read_text(), Experiment, "default").model_dump()
+    raw["sweep"], raw["faults"], raw["duration_s"] = {}, [], RUN
+    fleet = raw["fleet"]
+    fleet["limiters"] = limiters
+    fleet["servers"].update({"count": 60, "places": 8, "service_s": 0.05} | servers)
+    fleet["membership"] = {"on": True, "signals": way == "peers"}
+    fleet["counter"]["signals"] = way == "counter"
+    return raw
+
+
+def jobs(seeds: list[int]) -> list[dict]:
+    made = []
+    for seed in seeds:
+        for way in WAYS:
+            for kind in ("failing", "silent", "slow"):
+                made += [{"what": "bad", "kind": kind, "way": way, "limiters": limiters, "scale": scale, "seed": seed}
+                         for limiters, scale in ((40, 1.0), (200, 0.5), (200, 1.0))]
+            made.append({"what": "errors", "way": way, "limiters": 200, "scale": 1.0, "seed": seed})
+            made.append({"what": "link", "way": way, "limiters": 40, "scale": 1.0, "seed": seed})
+        for way in ("none", "peers"):
+            made += [{"what": "cold", "kind": kind, "way": way, "limiters": limiters, "seed": seed}
+                     for limiters in (8, 40, 200) for kind in ("replace", "split")]
+            made.append({"what": "grow", "way": way, "limiters": MANY, "seed": seed})
+    for job in made:
+        job["key"] = json.dumps(job, sort_keys=True)
+    return sorted(made, key=lambda job: job["what"] not in ("cold", "grow"))  # the longest first
+
+
+def play(job: dict) -> dict:
+    return job | {"bad": bad, "errors": errors, "link": link, "cold": cold, "grow": grow}[job["what"]](job)
+
+
+def run(raw: dict, seed: int, before: Callable[[Fleet], None] = lambda fleet: None) -> tuple[Fleet, dict]:
+    fleet = Fleet(Experiment.model_validate(raw), seed=seed, keep_trail=False)
+    before(fleet)
+    metrics = fleet.run().metrics()
+    told = [seat.signals for seat in fleet.seats if seat.signals]
+    return fleet, {"served": metrics["served_share"], "errored": metrics["errored_share"], "p99_ms": metrics["p99_ms"],
+                   "falls": metrics["cold_falls"], "broken": metrics["broken"], "words": sum(one.told for one in told),
+                   "sent_to_bad": metrics["sent_to_bad"], "over": metrics["worst_overshoot"]}
+
+
+def bad(job: dict) -> dict:
+    """One of 60 servers fails, is silent or ten times slow: tries that the whole fleet sent there meanwhile."""
+    raw = base(job["limiters"], job["way"])
+    raw["load"]["scale"] = job["scale"]
+    raw["faults"] = [{"at_s": BAD_AT, "action": f"{job['kind']}_servers", "share": 0.001, "for_s": BAD_FOR, "factor": 10.0}]
+    return run(raw, job["seed"])[1]
+
+
+def errors(job: dict) -> dict:
+    """No server is bad, all fail one try in a hundred: what words about chance cost."""
+    return run(base(job["limiters"], job["way"], error_share=0.01), job["seed"])[1]
+
+
+def link(job: dict) -> dict:
+    """The links of one limiter are broken to all servers: what it makes the others lose."""
+    def cut(fleet: Fleet) -> None:
+        fleet.engine.at(BAD_AT, lambda: fleet.seats[0].cut.update(
+            {ident: BAD_AT + BAD_FOR for ident in fleet.servers.models}))
+    fleet, figures = run(base(job["limiters"], job["way"]), job["seed"], cut)
+    others = fleet.seats[1:]
+    return figures | {"others_served": sum(seat.served for seat in others) / max(1, sum(seat.asked for seat in others))}
+
+
+def cold(job: dict) -> dict:
+    """Six in ten servers replaced at once, or a zone lost that returns cold in a split: sends to cold servers against rule
+    4's bound, and against what they can serve while they warm."""
+    raw = base(job["limiters"], job["way"], service_s=0.1)
+    for plan in raw["fleet"]["plans"]:
+        plan["customers"] *= 5
+    raw["load"]["scale"], raw["duration_s"] = 1.3, 18.0
+    raw["faults"] = [{"at_s": 5.0, "action": "replace_servers", "share": 0.6, "for_s": 1.0}] if job["kind"] == "replace" else [
+        {"at_s": 4.0, "action": "split_limiters", "share": 0.5, "for_s": 12.0},
+        {"at_s": 5.0, "action": "zone_lost", "zone": 0, "for_s": 2.0}]
+    fleet, figures = run(raw, job["seed"])
+    models = [model for model in fleet.servers.models.values() if model.push]
+    room = sum(model.places / model.service * (model.cold_from * for_s + (1 - model.cold_from) * for_s ** 2 / 2 / model.warm_after)
+               for model in models for for_s in [min(model.warm_after, raw["duration_s"] - model.up_since)])
+    return figures | {"push": max(model.push for model in models), "used": fleet.servers.sent_to_cold / room}
+
+
+def jain(shares: list[float]) -> float:
+    """Jain's index of fairness: 1 where all are equal, 1/n where one has all."""
+    return sum(shares) ** 2 / (len(shares) * sum(one * one for one in shares)) if any(shares) else 0.0
+
+
+def grow(job: dict) -> dict:
+    """A fleet of 40 limiters grows to 200 and shrinks back within 20 s, by planned starts and ends: how evenly limiters serve
+    what they were asked, and customers get what they ask inside their quotas."""
+    raw = base(job["limiters"], job["way"])
+    raw["duration_s"] = SHRINKS + TURN + 4.0
+    asked: dict[int, int] = {}
+
+    def script(fleet: Fleet) -> None:
+        step = TURN / (MANY - FEW)
+        for number, seat in enumerate(fleet.seats[FEW:]):
+            seat.kill()
+            fleet.engine.at(GROWS + number * step, lambda index=seat.index: fleet.restart(index))
+            fleet.engine.at(SHRINKS + number * step, lambda index=seat.index: end(fleet, index))
+        call = fleet.call
+
+        def counted(customer, route, repeated: bool) -> None:
+            asked[customer.id] = asked.get(customer.id, 0) + (not repeated)
+            call(customer, route, repeated)
+        fleet.call = counted
+
+    def end(fleet: Fleet, index: int) -> None:
+        seat = fleet.seats[index]
+        seat.closing = True
+        seat.peer.core.leave()
+        fleet.engine.after(max(route.client_timeout for route in fleet.routes) + 0.1, seat.kill)
+    fleet, figures = run(raw, job["seed"], script)
+    shares = [seat.served / seat.asked for seat in fleet.seats if seat.asked >= 10]
+    return figures | {"jain_limiters": jain(shares), "jain_customers": jain(
+        [customer.units / asked[customer.id] for customer in fleet.customers if asked.get(customer.id)])}
+
+
+def measure(folder: Path, seeds: list[int], processes: int | None = None,
+            progress: Callable[[float], None] = lambda done: None) -> list[dict]:
+    """Play what is not in the folder yet; all rows."""
+    folder.mkdir(parents=True, exist_ok=True)
+    path, rows = folder / RESULTS, []
+    if path.exists():
+        for line in path.read_text().splitlines():
+            try:
+                rows.append(json.loads(line))
+            except ValueError:
+                continue  # a torn last line: played again
+    have, todo = {row["key"] for row in rows}, jobs(seeds)
+    todo = [job for job in todo if job["key"] not in have]
+    with open(path, "a") as sink, multiprocessing.get_context("spawn").Pool(processes or os.cpu_count()) as pool:
+        for number, row in enumerate(pool.imap_unordered(play, todo)):
+            rows.append(row)
+            sink.write("\n" * (not number) + json.dumps(row, sort_keys=True) + "\n")
+            sink.flush()
+            progress((number + 1) / len(todo))
+    return rows
+
+
+COLUMNS = {"bad": ("sent_to_bad", "served", "p99_ms", "words"), "errors": ("served", "errored", "words"),
+           "link": ("others_served", "served", "words"), "cold": ("push", "used", "served", "falls"),
+           "grow": ("jain_limiters", "jain_customers", "served", "errored", "over")}
+
+
+def groups(rows: list[dict]) -> dict[tuple, list[dict]]:
+    found: dict[tuple, list[dict]] = {}
+    for row in sorted(rows, key=lambda row: (row["what"], row.get("kind", ""), row["limiters"], row.get("scale", 0),
+                                             WAYS.index(row["way"]))):
+        found.setdefault((row["what"], row.get("kind", ""), row["limiters"], row.get("scale", ""), row["way"]), []).append(row)
+    return found
+
+
+def table(rows: list[dict]) -> str:
+    """Markdown: the mean over the seeds, in brackets the least and the most."""
+    lines, head = [], None
+    for (what, kind, limiters, scale, way), own in groups(rows).items():
+        if what != head:
+            head = what
+            lines += ["", f"| {what} | limiters | load | words by | " + " | ".join(COLUMNS[what]) + " |",
+                      "| --- " * (4 + len(COLUMNS[what])) + "|"]
+        cells = []
+        for name in COLUMNS[what]:
+            values = [row[name] for row in own]
+            digits = 0 if max(values) >= 10 else 3
+            cells.append(f"{sum(values) / len(values):.{digits}f} ({min(values):.{digits}f} to {max(values):.{digits}f})")
+        lines.append(f"| {kind} | {limiters} | {scale} | {way} | " + " | ".join(cells) + " |")
+    return "\n".join(lines).strip()
+
+
+def plot(rows: list[dict], png: Path) -> Path:
+    """Tries lost on a bad server by way, and cold servers' use against rule 4's bound."""
+    import matplotlib
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+    figure, (left, right) = pyplot.subplots(1, 2, figsize=(12, 4.5))
+    kinds = [key for key in groups(rows) if key[0] == "bad"]
+    places = sorted({key[1:4] for key in kinds})
+    for offset, way in enumerate(WAYS):
+        values = [[row["sent_to_bad"] for row in groups(rows).get(("bad", *place, way), [])] for place in places]
+        left.boxplot(values, positions=[n * 4 + offset for n in range(len(places))], widths=0.8, showfliers=False,
+                     boxprops={"color": f"C{offset}"}, medianprops={"color": f"C{offset}"})
+        left.plot([], [], color=f"C{offset}", label=f"words: {way}")
+    left.set_xticks([n * 4 + 1 for n in range(len(places))],
+                    [f"{kind}\n{limiters}, {scale}" for kind, limiters, scale in places], fontsize=7)
+    left.set_yscale("log")
+    left.set_title(f"tries sent to one bad server in {BAD_FOR:.0f} s (limiters, load)")
+    left.legend()
+    for mark, kind in (("o", "replace"), ("s", "split")):
+        for colour, way in (("C0", "none"), ("C2", "peers")):
+            own = [row for row in rows if row["what"] == "cold" and row["kind"] == kind and row["way"] == way]
+            right.plot([row["limiters"] for row in own], [row["push"] for row in own], mark, color=colour,
+                       label=f"{kind}, words: {way}", alpha=0.6)
+    right.axhline(1.0, color="red", lw=0.8)
+    right.set_xscale("log")
+    right.set_xlabel("limiters")
+    right.set_title("most sends to a cold server, as a share of rule 4's bound")
+    right.legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(png, dpi=90)
+    pyplot.close(figure)
+    return png
--- /dev/null
+++ b/brookhub/maintenance/__init__.py
@@ -0,0 +1,11 @@
+"""Taking machines out for work in an order that the limiters settle among themselves, without I/O (docs/maintenance.md).
+
+`Maintenance(port, me, ...)` is told what arrives and what time it is, and acts through a MaintenancePort. Times s.
+"""
+
+from .core import Maintenance, MaintenancePort, Settings
+from .messages import FILLING, LEAVING, OPEN, TOPIC, Report, Table, Unreadable, pack, unpack
+from .plan import Machine, Plan, fits, order
+
+__all__ = ["FILLING", "LEAVING", "Machine", "Maintenance", "MaintenancePort", "OPEN", "Plan", "Report", "Settings", "TOPIC",
+           "Table", "Unreadable", "fits", "order", "pack", "unpack"]
--- /dev/null
+++ b/brookhub/maintenance/core.py
@@ -0,0 +1,393 @@
+"""The steps of a plan: who leads, which machine goes out next, when it is safe to work on, when it is back.
+
+Each limiter runs one; a majority of the voters holds the table (register.py), and whoever leads acts on it: the steward. Told
+by `tick` (often: TICK s) and `received`; acts by its port. What it may not do without a majority it does not begin, and
+what it says outward ("safe to work on NAME") it says only under a lease that holds at that moment.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+from xxhash import xxh3_64_intdigest
+
+from .messages import (FILLING, LEAVING, MOST_PIECES, NOTHING_SAID, OPEN, PIECE, Heard, Offer, Piece, Report, Table, Told,
+                       Want)
+from .plan import Machine, Plan, fits, order
+from .register import Register, leased
+
+
+class MaintenancePort(Protocol):
+    """How maintenance acts. `present()`: the limiters that are there, without this one; `listed()`: all of the fleet."""
+
+    def now(self) -> float: ...
+    def present(self) -> list[str]: ...
+    def listed(self) -> list[str]: ...
+    def send(self, peer: str, message) -> None: ...
+    def up(self, machine: Machine) -> bool: ...
+    def hold(self, machines: tuple[str, ...]) -> None: ...
+    def quiet(self, machine: Machine) -> bool: ...
+    def lately(self) -> tuple[float, float, float]: ...
+    def load(self) -> dict[str, float]: ...
+    def log(self, event: str, **facts) -> None: ...
+
+
+@dataclass(frozen=True)
+class Settings:
+    """Times in s, the same at all limiters. `ends_in`: the longest client timeout, after which nothing of a limiter that fell
+    silent is out any more."""
+
+    lease: float = 3.0  # longer than a datagram's way, a garbage pause and a lost renewal together; short against work
+    ends_in: float = 3.0
+    offer: float = 1.0  # between two tellings of a plan to one peer; 0: none
+    settle: float = 10.0  # that a plan which halted has to be well again until it goes on
+    lately: float = 10.0  # over which a halt is judged
+    asked_least: float = 20.0  # API calls in that time below which nothing is judged: chance
+
+
+class Maintenance:
+    """One limiter's part. `knows`: it remembers (only where all begin together with nothing: tests)."""
+
+    def __init__(self, port: MaintenancePort, me: str, settings: Settings = Settings(), knows: bool = False):
+        self.port, self.me, self.settings, self.knew = port, me, settings, knows
+        self.plan: Plan | None = None
+        self.digest = ""
+        self.register: Register | None = None
+        self.born = port.now()
+        self.refused: dict[str, int] = {}  # digests of plans that conflict -> version
+        self.pieces: dict[int, bytes] = {}
+        # Each goes round the others from a place of its own: all in step would tell the same ones.
+        self.wanted, self.asking_at, self.offer_at, self.turn = "", self.born, self.born, xxh3_64_intdigest(me) % 2 ** 20
+        self.told, self.told_mark = Table(), NOTHING_SAID  # the newest table known to be held by a majority
+        self.holding: tuple[str, ...] = ()
+        self.try_at, self.asks = self.born, 0  # when it asks to lead, where nobody seems to; how often it did
+        self.reports: dict[str, tuple[float, Report]] = {}
+        self.seen: dict[str, float] = {}  # who was present, when last
+        self.since: dict[str, float] = {}  # machine -> when this steward saw it enter its step
+        self.started: dict[str, bool] = {}  # machine -> it went down since it is open
+        self.freed_at, self.well_at, self.led = self.born - 1e9, self.born, False
+        self.late: dict[str, bool] = {}
+
+    # the plan
+
+    def give(self, plan: Plan) -> str:
+        """A plan from the operator or from a peer: "" or why it is refused, in one line."""
+        digest = plan.digest()
+        if self.plan and plan.version == self.plan.version and digest != self.digest:
+            if digest not in self.refused:
+                self.refused[digest] = plan.version
+                self.port.log("plan refused", version=plan.version, digest=digest, held=self.digest,
+                              why="another plan of this version is held")
+            return f"version {plan.version} is held with digest {self.digest}, this one has {digest}"
+        if self.plan and plan.version < self.plan.version:
+            return f"version {plan.version} is older than {self.plan.version}, digest {self.digest}"
+        if self.plan and plan.voters != self.plan.voters:
+            return "the first voters stay as they were: name others as voters_next"
+        if digest == self.digest:
+            return ""
+        self.plan, self.digest, self.pieces, self.wanted = plan, digest, {}, ""
+        self.port.log("plan taken", version=plan.version, digest=digest, machines=len(plan.machines))
+        if self.settings.offer:
+            for name in plan.voters:  # they have to know first
+                if name != self.me:
+                    self.port.send(name, Offer(plan.version, digest))
+        if self.register is None:
+            self.register = Register(self.me, plan.voters, self.settings.lease, plan.start_within_s, self.born, self.port.send,
+                                     self.report, self.heard, self.learned, self.knew)
+            self.try_at = self.port.now() + self.rank() * self.settings.lease / 4
+        return ""
+
+    def offer(self, now: float) -> None:
+        if self.plan and self.settings.offer and now >= self.offer_at:
+            self.offer_at = now + self.settings.offer
+            peers = sorted(self.port.present())
+            if peers:
+                self.turn += 1
+                self.port.send(peers[self.turn % len(peers)], Offer(self.plan.version, self.digest))
+
+    def offered(self, peer: str, message: Offer, now: float) -> None:
+        held = self.plan.version if self.plan else 0
+        if message.version > held and (self.wanted != message.digest or now >= self.asking_at + self.settings.offer):
+            if self.wanted != message.digest:
+                self.wanted, self.pieces = message.digest, {}
+            self.asking_at = now
+            self.port.send(peer, Want(message.digest, len(self.pieces)))
+        elif message.version == held and message.digest != self.digest and message.digest not in self.refused:
+            self.refused[message.digest] = message.version
+            self.port.log("plan refused", version=message.version, digest=message.digest, held=self.digest,
+                          why="another plan of this version is held")
+        elif message.version < held:
+            self.port.send(peer, Offer(held, self.digest))
+
+    def piece(self, peer: str, message: Piece, now: float) -> None:
+        if message.digest != self.wanted or message.piece != len(self.pieces):
+            return
+        self.pieces[message.piece] = message.data
+        self.asking_at = now
+        if len(self.pieces) < message.pieces:
+            return self.port.send(peer, Want(message.digest, len(self.pieces)))
+        data, self.pieces, self.wanted = b"".join(self.pieces.values()), {}, ""
+        try:
+            plan = msgspec.msgpack.decode(data, type=Plan)
+        except msgspec.DecodeError:
+            return
+        if plan.digest() == message.digest:
+            self.give(plan)
+
+    def wants(self, peer: str, message: Want) -> None:
+        if self.plan and message.digest == self.digest:
+            data = msgspec.msgpack.encode(self.plan)
+            pieces = max(1, -(-len(data) // PIECE))
+            if message.piece < pieces <= MOST_PIECES:
+                self.port.send(peer, Piece(self.digest, message.piece, pieces, data[message.piece * PIECE:][:PIECE]))
+
+    # what arrives
+
+    def received(self, peer: str, message) -> None:
+        now = self.port.now()
+        if isinstance(message, Offer):
+            self.offered(peer, message, now)
+        elif isinstance(message, Want):
+            self.wants(peer, message)
+        elif isinstance(message, Piece):
+            self.piece(peer, message, now)
+        elif isinstance(message, Told):
+            if message.mark >= self.told_mark:
+                self.commit(message.mark, message.table)
+            if self.register and self.register.abstains:
+                self.register.learn(message.mark, message.table)
+            self.port.send(peer, Heard(message.mark, self.report()))
+        elif isinstance(message, Heard):
+            self.heard(peer, message.report)
+        elif self.register is not None:
+            self.register.received(peer, message, now)
+
+    def heard(self, peer: str, report: Report) -> None:
+        self.reports[peer] = (self.port.now(), report)
+
+    def report(self) -> Report:
+        """What goes with each vote and answer."""
+        quiet = tuple(name for name in self.holding if self.plan and (one := self.plan.machine(name)) and self.port.quiet(one))
+        return Report(quiet, *self.port.lately())
+
+    # every limiter: keeps off the machines that are out
+
+    def learned(self, table: Table) -> None:
+        """A newer table, perhaps not held by a majority yet: to keep off a machine early harms nobody."""
+        self.keep_off(table)
+
+    def commit(self, mark, table: Table) -> None:
+        self.told_mark, self.told = mark, table
+        self.keep_off(table)
+
+    def keep_off(self, table: Table) -> None:
+        holding = tuple(name for name, step in table.outs if step in (LEAVING, OPEN))
+        if holding != self.holding:
+            self.holding = holding
+            self.port.hold(holding)
+
+    # the clock
+
+    def tick(self) -> None:
+        now = self.port.now()
+        self.offer(now)
+        if self.register is None:
+            return
+        register = self.register
+        register.tick(now)
+        if register.leads:
+            self.lead(now)
+        else:
+            if self.led:
+                self.led = False
+                self.port.log("steward no more", steward=self.me)
+            self.campaign(now)
+
+    def campaign(self, now: float) -> None:
+        """Ask to lead where nobody does: the voters one after another, in an order that turns with the plan."""
+        register, table = self.register, self.register.table
+        if register.abstains or not register.votes() or self.finished(table):
+            return
+        if now < register.until and register.promised[1] not in ("", self.me):
+            self.try_at = register.until + self.rank() * self.settings.lease / 4
+        elif now >= self.try_at:
+            # Those that asked at one moment must not do so again: drawn by name and number, the same each time it is played.
+            self.asks = (self.asks + 1) % 64
+            drawn = xxh3_64_intdigest(f"{self.me}/{self.asks}") / 2 ** 64
+            self.try_at = now + self.settings.lease * (1 + drawn * len(register.voters()) / 2)
+            register.ask(now)
+
+    def rank(self) -> int:
+        """This one's place among the voters that are there."""
+        here = {*self.port.present(), self.me}
+        return sorted((name not in here, name) for name in self.register.voters()).index((False, self.me)) \
+            if self.me in self.register.voters() else len(self.register.voters())
+
+    def finished(self, table: Table) -> bool:
+        """Whether nothing is left to do: all machines of the newest plan known here are done, and none is out."""
+        return (table.digest == self.digest and table.done == self.plan.everything() and not table.outs
+                and not (self.plan.voters_next and set(self.plan.voters_next) != set(table.voters or self.plan.voters)))
+
+    # the steward
+
+    def lead(self, now: float) -> None:
+        register, settings = self.register, self.settings
+        for name in self.port.present():
+            self.seen[name] = now
+        if register.pending is not None:
+            if now >= register.sent_at + settings.lease / 3:
+                register.write(register.pending, now)  # its words or their answers were lost
+            return
+        if not register.acts(now):
+            return
+        if not self.led:
+            self.led, self.since, self.started, self.late, self.well_at = True, {}, {}, {}, now
+            self.freed_at = now - (0 if register.held.outs else 1e9)
+            self.port.log("steward", steward=self.me, version=register.held.version, digest=register.held.digest)
+        table = register.held
+        if self.told_mark[:2] != register.ballot or table != self.told or now >= register.sent_at + settings.lease / 3:
+            self.spread(table)
+        following = self.follow(table, now)
+        if following != table or now >= register.sent_at + settings.lease / 3:
+            if self.finished(table) and following == table:
+                return  # the lease runs out, and nobody needs another
+            register.write(following, now)
+
+    def spread(self, table: Table) -> None:
+        mark = (*self.register.ballot, self.register.serial)
+        self.commit(mark, table)
+        voters = set(self.register.voters(table))
+        for name in self.port.present():
+            if name not in voters:
+                self.port.send(name, Told(mark, table))
+
+    def follow(self, table: Table, now: float) -> Table:
+        """The table as it should be next; the steward writes it, and acts on it only once a majority holds it."""
+        plan = self.plan
+        if plan.version > table.version:
+            return msgspec.structs.replace(table, version=plan.version, digest=self.digest, done=0, halted="",
+                                           voters=table.voters or plan.voters, resume=plan.resume,
+                                           load=tuple(sorted((zone, round(load, 1)) for zone, load in self.port.load().items())))
+        if table.digest != self.digest:
+            return table  # a majority holds another plan of this version, or a newer one that is on its way here
+        voters = table.voters or plan.voters
+        if plan.voters_next and set(voters) != set(plan.voters_next):
+            return msgspec.structs.replace(table, voters=self.one_changed(voters, plan.voters_next))
+        following = table
+        for name, step in table.outs:
+            machine = plan.machine(name)
+            self.since.setdefault(name, now)
+            before, following = following, self.step(following, machine, step, now) if machine else following
+            if following != before:
+                self.since.pop(name, None)
+                self.started.pop(name, None)
+        halted, table = self.halt(table, now), following
+        if halted != table.halted:
+            self.port.log("plan halted" if halted else "plan goes on", why=halted or "it is well again")
+            return msgspec.structs.replace(table, halted=halted, resume=plan.resume)
+        while not halted and (following := self.permit(table, now)) != table:
+            table = following
+        return table
+
+    def one_changed(self, voters: tuple, following: tuple) -> tuple:
+        """One voter more or less at a time: any majority before shares one with any majority after."""
+        more, less = [one for one in following if one not in voters], [one for one in voters if one not in following]
+        return (*voters, more[0]) if more else tuple(one for one in voters if one != less[0])
+
+    def moved(self, table: Table, name: str, step: int = 0, done: bool = False) -> Table:
+        outs = tuple((one, step if one == name else at) for one, at in table.outs if one != name or step)
+        bit = 1 << [one.name for one in self.plan.machines].index(name) if done else 0
+        return msgspec.structs.replace(table, outs=outs, done=table.done | bit)
+
+    def step(self, table: Table, machine: Machine, step: int, now: float) -> Table:
+        name, plan, up, waited = machine.name, self.plan, self.port.up(machine), now - self.since[machine.name]
+        if step == LEAVING:
+            if table.halted and up:
+                self.port.log("brought back", machine=name, why="the plan halted and nobody had started on it")
+                return self.moved(table, name)
+            if self.all_quiet(machine, now):
+                return self.moved(table, name, OPEN)
+        elif step == OPEN:
+            if name not in self.late:
+                self.late[name] = False
+                self.port.log("safe to work on " + name, machine=name, start_within_s=plan.start_within_s,
+                              work_most_s=plan.work_most_s)
+            self.started[name] = self.started.get(name, False) or not up
+            # Down and up again may also have been a failure of its own: as long as somebody may yet start it stays out.
+            begun = waited >= leased(plan.start_within_s)
+            if up and self.started[name] and begun:
+                self.port.log("back", machine=name)
+                return self.moved(table, name, FILLING)
+            if up and begun:  # whoever wanted to start had to be gone from the list by now
+                self.port.log("withdrawn", machine=name, why=f"nobody started within {plan.start_within_s:.0f} s: ask again")
+                self.late.pop(name, None)
+                return self.moved(table, name)
+            if not up and waited >= plan.work_most_s and not self.late[name]:
+                self.late[name] = True
+                self.port.log("work takes long", machine=name, work_most_s=plan.work_most_s)
+        elif waited >= plan.fill_s:
+            self.freed_at = now
+            self.late.pop(name, None)
+            self.port.log("done with " + name, machine=name)
+            return self.moved(table, name, done=True)
+        return table
+
+    def all_quiet(self, machine: Machine, now: float) -> bool:
+        """Whether nothing of any limiter is out at it: each says so. Those that are gone count out once the longest client
+        timeout has passed since they were last there; those that are there and silent, a lease later (each renewal asked
+        them): they may not know, and what they still send meets the drain that comes before the work."""
+        if self.me != machine.limiter and not self.port.quiet(machine):
+            return False
+        since, wait = self.since[machine.name], leased(self.settings.ends_in)
+        here = set(self.port.present())
+        for name in self.port.listed():
+            at, report = self.reports.get(name, (-1e9, None))
+            if at >= since and machine.name in report.quiet:
+                continue
+            last = max(since, at) + self.settings.lease if name in here else max(since, self.seen.get(name, since))
+            if now < last + wait:
+                return False
+        return True
+
+    def halt(self, table: Table, now: float) -> str:
+        """Why the plan may not go on, or ""."""
+        plan, why = self.plan, ""
+        down = {one.name for one in plan.machines if not self.port.up(one)} - {name for name, _ in table.outs}
+        total = sum(one.capacity for one in plan.machines)
+        left = total - sum(one.capacity for one in plan.machines if one.name in down or table.step(one.name))
+        asked, served, took = self.sums(now)
+        if left < plan.capacity_least * total - 1e-9:
+            why = f"{left:g} of {total:g} capacity is left, {plan.capacity_least * total:g} has to stay"
+        elif any(self.late.get(name) for name, _ in table.outs):
+            why = "work takes longer than the plan allows"
+        elif asked >= self.settings.asked_least and served < plan.served_least * asked:
+            why = f"{served / asked:.3f} of the calls are served, {plan.served_least:g} is the least"
+        elif served >= self.settings.asked_least and plan.answer_most_s and took > plan.answer_most_s * served:
+            why = f"an answer takes {took / served:.2f} s in the mean, {plan.answer_most_s:g} s is the most"
+        if why:
+            self.well_at = now
+            # The reason that it halted for stays while it holds: figures change with each look.
+            return table.halted or why
+        told = plan.resume > table.resume
+        return "" if not table.halted or told or now - self.well_at >= self.settings.settle else table.halted
+
+    def sums(self, now: float) -> tuple[float, float, float]:
+        fresh = [self.port.lately()] + [(one.asked, one.served, one.took) for at, one in self.reports.values()
+                                        if now - at < self.settings.lease]
+        return tuple(sum(figures) for figures in zip(*fresh))
+
+    def permit(self, table: Table, now: float) -> Table:
+        plan = self.plan
+        if now - self.freed_at < plan.pause_s:
+            return table
+        down = frozenset(one.name for one in plan.machines if not self.port.up(one))
+        away = {name for name, _ in table.outs} | down
+        for machine in order(plan, dict(table.load), down):
+            left = not table.done >> [one.name for one in plan.machines].index(machine.name) & 1
+            if left and not table.step(machine.name) and fits(plan, machine.name, away):
+                self.port.log("permitted", machine=machine.name, out=len(table.outs) + 1)
+                self.since[machine.name] = now  # from now on a report may say that nothing is out there
+                return msgspec.structs.replace(table, outs=(*table.outs, (machine.name, LEAVING)))
+        return table
--- a/brookhub/program/run.py
+++ b/brookhub/program/run.py
@@ -87,6 +87,7 @@
         except OSError as broken:
             raise StartError(f"can't listen at {start.listen[0]}:{start.listen[1]}: {broken.strerror}") from None
         self.peers = self.join(start)
+        self.keeper = self.keep(start) if self.peers and start.maintenance else None
         if start.known:
             port.run(monotonic(), self.discovery.heard, start.known)
 
@@ -105,6 +106,21 @@
         except OSError as broken:
             raise StartError(f"membership: can't listen at {spec.listen}: {broken.strerror}") from None
 
+    def keep(self, start: Start):
+        """The driver of maintenance, where the start file names a plan and there are peers to settle it with."""
+        given = startfile.plan(start)
+        from ..maintenance import Settings
+        from ..routing.maintenance import Keeper
+        keeper = Keeper(self.port, self.log, self.peers, self.discovery, Settings(ends_in=self.longest))
+        if given:
+            self.port.run(monotonic(), self.given, keeper, given)
+        return keeper
+
+    def given(self, keeper, plan) -> None:
+        refused = keeper.give(plan)
+        if refused:
+            self.port.todo.append((lambda: self.log.error("plan not taken", why=refused),))
+
     def fault(self, met: BaseException) -> None:
         """What nobody expected: it is told with its trace, and the program goes on."""
         self.log.error("fault", exc_info=met)
@@ -127,6 +143,9 @@
         port.run(monotonic(), self.discovery.move, self.start.discovery)
         if self.peers:
             self.peers.start()
+        if self.keeper:
+            self.port.watch = self.keeper.count
+            self.port.run(monotonic(), self.keeper.start)
         spawn("accept", self.listener.run, self.clients.accepted)
         self.log.info("serving")
         while signal.sigwait(SIGNALS) == signal.SIGHUP:
@@ -139,6 +158,7 @@
         try:
             start = startfile.read(os.environ, again=True)
             peers = startfile.peers(start) if self.peers and start.membership else None
+            plan = startfile.plan(start) if self.keeper else None
         except StartError as refused:
             return self.log.error("not reloaded", why=str(refused))
         self.port.run(monotonic(), self.discovery.move, start.discovery)
@@ -146,6 +166,8 @@
             self.port.run(monotonic(), self.port.counter.move, start.counter)
         if peers:
             self.port.run(monotonic(), self.peers.relist, peers)
+        if plan:
+            self.port.run(monotonic(), self.given, self.keeper, plan)
         waits = start.terms != self.start.terms or start.listen != self.start.listen
         self.log.info("reloaded", discovery="%s:%d" % start.discovery, waits_for_a_start=waits,
                       counter="%s:%d" % start.counter if start.counter else None)
--- a/brookhub/program/startfile.py
+++ b/brookhub/program/startfile.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Mapping
 
 from ..protocol import hosts
@@ -42,6 +43,10 @@
         self.membership, self.may_talk = told.get("membership"), limits.get("peer_messages") is True
         if self.membership is not None and not (isinstance(self.membership, str) and self.membership):
             raise StartError("membership is not the path of a file")
+        # Off where none is named, and without peers; a file that is not there yet is a plan that was not given yet.
+        self.maintenance = told.get("maintenance")
+        if self.maintenance is not None and not (isinstance(self.maintenance, str) and self.maintenance):
+            raise StartError("maintenance is not the path of a file")
         self.known = None
         if told.get("known") is not None:
             try:
@@ -82,6 +87,21 @@
         raise StartError(f"membership: {broken}") from None
 
 
+def plan(start: Start):
+    """The plan of work that a start file names (maintenance.Plan), None where there is none yet; raises StartError in one line."""
+    from ..config import ConfigError, PlanFile, load
+    from ..maintenance import Machine, Plan
+    if not start.maintenance or not Path(start.maintenance).exists():
+        return None
+    try:
+        spec = load(start.maintenance, PlanFile)
+    except ConfigError as broken:
+        raise StartError(f"maintenance: {broken}") from None
+    machines = tuple(Machine(one.name, one.zone, one.capacity, tuple(one.servers), one.limiter) for one in spec.machines)
+    figures = spec.model_dump(exclude={"machines", "voters", "voters_next"})
+    return Plan(**figures, machines=machines, voters=tuple(spec.voters), voters_next=tuple(spec.voters_next))
+
+
 def read(environment: Mapping[str, str], again: bool = False) -> Start:
     """The file is the newer word where it is read again: the variables are those of the program's start."""
     path = environment.get("NODE_CONFIG")
--- a/brookhub/protocol/hosts.py
+++ b/brookhub/protocol/hosts.py
@@ -30,8 +30,12 @@
         self.weight, self.born = figure(item, "share", 1.0), figure(item, "born_ms", 0) / 1000
 
     def ident(self) -> int:
-        """A number for the name, the same at every gateway."""
-        return int.from_bytes(sha256(self.name.encode()).digest()[:6], "big")
+        return ident(self.name)
+
+
+def ident(name: str) -> int:
+    """A number for a server's name, the same at every gateway."""
+    return int.from_bytes(sha256(name.encode()).digest()[:6], "big")
 
 
 def address(words: str) -> tuple[str, int]:
--- a/brookhub/routing/discovery.py
+++ b/brookhub/routing/discovery.py
@@ -71,6 +71,8 @@
         self.port, self.dialling, self.clock_ahead = port, dialling, clock_ahead
         self.zones, self.kinds, self.silent_after = list(zones), list(kinds), silent_after
         self.roster, self.version, self.begun, self.watch = Roster(), 0, False, None
+        self.held: set[str] = set()  # servers by name that a plan keeps off; else they are used as the list says
+        self.ready: dict[str, bool] = {}  # what the list says of a server, by name: ready or not
         self.places, self.where = {}, {}  # who is at an address, and the address of each, by its id
 
     # under the port's lock
@@ -90,6 +92,8 @@
         if not news.whole and news.version <= self.version and self.version:
             return  # told before
         self.version = news.version
+        self.ready = {} if news.whole else self.ready
+        self.ready.update((host.name, host.state is State.READY) for host in news.hosts)
         told = self.roster.update([self.entry(host) for host in news.hosts], news.whole)
         addresses = {host.ident(): host.address for host in news.hosts}
         told += self.displaced(told, addresses)
@@ -101,6 +105,27 @@
                 self.port.servers.leave(server)
         self.port.gateway.servers_told(told)
 
+    def lists(self, name: str) -> bool:
+        """Whether the list says that a server is there and ready, whatever a plan says."""
+        return self.ready.get(name, False)
+
+    def ident(self, name: str) -> int:
+        return hosts.ident(name)
+
+    def hold(self, names: set[str]) -> None:
+        """Keep off these servers, as if the list said that they drain; those not named any more are used as it says."""
+        told = []
+        for name in sorted(self.held ^ names):
+            server = self.roster.servers.get(hosts.ident(name))
+            if server is not None and self.ready.get(name):
+                server.state = State.DRAINING if name in names else State.READY
+                told.append(server)
+                if name in names:
+                    self.port.servers.leave(server)
+        self.held = set(names)
+        if told:
+            self.port.gateway.servers_told(told)
+
     def displaced(self, told: list, addresses: dict) -> list:
         """Those whose address a server has that started later: they are gone, though nobody has said so yet."""
         gone = []
@@ -126,7 +151,8 @@
 
     def entry(self, host: hosts.Host) -> tuple:
         born = host.born - self.clock_ahead if host.born else 0.0
-        return (host.ident(), place(self.zones, host.zone), place(self.kinds, host.kind), host.cell, host.state,
+        state = State.DRAINING if host.name in self.held and host.state is State.READY else host.state
+        return (host.ident(), place(self.zones, host.zone), place(self.kinds, host.kind), host.cell, state,
                 host.weight, born)
 
     def fit(self) -> bool:
--- /dev/null
+++ b/brookhub/routing/maintenance.py
@@ -0,0 +1,88 @@
+"""Maintenance's driver: a plan from the operator's file, words over membership, servers held back, events in the log."""
+
+from __future__ import annotations
+
+from time import monotonic
+
+from ..maintenance import TOPIC, Machine, Maintenance, Plan, Settings, Unreadable, pack, unpack
+
+TICK = 0.25  # s between looks: far below a lease
+LATELY = 10.0  # s over which served calls and their times are told
+
+
+class Keeper:
+    """The maintenance of one limiter on sockets. `peers`: routing.peers.Peers, whose membership carries the words; `discovery`
+    tells of the servers. All methods run under the port's lock. A maintenance.MaintenancePort."""
+
+    def __init__(self, port, log, peers, discovery, settings: Settings):
+        self.port, self.out, self.peers, self.discovery = port, log, peers, discovery
+        self.core = Maintenance(self, peers.core.name, settings)
+        self.seconds: list[tuple[int, float, float, float]] = []  # a second's calls: asked, served, s they took
+        peers.on_topic[TOPIC] = self.heard
+
+    def start(self) -> None:
+        self.core.tick()
+        self.port.later(TICK, self.start)
+
+    def give(self, plan: Plan) -> str:
+        return self.core.give(plan)
+
+    def heard(self, peer: str, data: bytes) -> None:
+        try:
+            message = unpack(data)
+        except Unreadable:
+            return self.peers.drop("unreadable")
+        self.core.received(peer, message)
+
+    def count(self, call, took: float, served: bool) -> None:
+        """One API call had its final answer."""
+        second = int(self.port.now)
+        if not self.seconds or self.seconds[-1][0] != second:
+            self.seconds = [one for one in self.seconds if one[0] > second - LATELY] + [(second, 0.0, 0.0, 0.0)]
+        at, asked, well, spent = self.seconds[-1]
+        self.seconds[-1] = (at, asked + 1, well + served, spent + took * served)
+
+    # the port of maintenance
+
+    def now(self) -> float:
+        return max(self.port.now, monotonic())
+
+    def present(self) -> list[str]:
+        return sorted(self.peers.core.present)
+
+    def listed(self) -> list[str]:
+        return self.peers.core.names
+
+    def send(self, peer: str, message) -> None:
+        if peer in self.peers.core.members:
+            self.peers.core.say(TOPIC, pack(message), [peer])
+
+    def up(self, machine: Machine) -> bool:
+        """Whether discovery lists all its servers as ready (held back here or not), and its limiter is there."""
+        here = not machine.limiter or machine.limiter == self.core.me or machine.limiter in self.peers.core.present
+        return here and all(self.discovery.lists(name) for name in machine.servers)
+
+    def hold(self, names: tuple[str, ...]) -> None:
+        machines = [one for one in map(self.core.plan.machine, names) if one]
+        self.discovery.hold({server for one in machines for server in one.servers})
+
+    def quiet(self, machine: Machine) -> bool:
+        """Whether nothing of this limiter is out at the machine's servers. A limiter on it ends as planned (SIGTERM) when work
+        begins: its clients' connections end between calls then, and the others take its parts."""
+        out = {one.server.id for one in self.port.servers.out}
+        return not any(self.discovery.ident(name) in out for name in machine.servers)
+
+    def lately(self) -> tuple[float, float, float]:
+        fresh = [one for one in self.seconds if one[0] > self.port.now - LATELY]
+        return tuple(sum(one[place] for one in fresh) for place in (1, 2, 3))
+
+    def load(self) -> dict[str, float]:
+        """Tries out by zone name, as a picture of the load: all limiters take the leader's."""
+        found: dict[str, float] = {}
+        for one in self.port.servers.out:
+            zone = self.discovery.zones[one.server.zone] if one.server.zone < len(self.discovery.zones) else ""
+            found[zone] = found.get(zone, 0.0) + 1.0
+        return found
+
+    def log(self, event: str, **facts) -> None:
+        self.port.todo.append((lambda: self.out.info(event, **{"what": "maintenance", **facts}),))
--- a/brookhub/routing/peers.py
+++ b/brookhub/routing/peers.py
@@ -48,6 +48,7 @@
         self.numbers = (0, 0, 0)
         self.ahead = time() - monotonic()  # of the calendar; looked at again with each log line
         self.turns = Turns(xxh3_64_intdigest(spec.fleet), spec.name)  # one key for a fleet, the same at all
+        self.on_topic: dict[int, object] = {}  # what other parts take of the peers' words
         self.signals = Signals(ByPeers(self, self.core), self.turns) if spec.signals else None
         if self.signals:
             port.gateway.choices_told(self.signals)
@@ -122,6 +123,8 @@
 
     def said(self, peer: str, topic: int, data: bytes) -> None:
         """Another part's word. What can't be read is counted; a topic that is off here is nobody's."""
+        if topic in self.on_topic:
+            return self.on_topic[topic](peer, data)
         if topic != TOPIC or not self.signals:
             return
         try:
--- a/brookhub/routing/port.py
+++ b/brookhub/routing/port.py
@@ -26,6 +26,7 @@
         self.alarms, self.order, self.grain = [], 0, grain
         self.bell, self.looks_at = Lock(), 0.0  # held while nobody rings; when the timers look next by themselves
         self.todo, self.soon = [], deque()
+        self.watch: Callable[[ApiCall, float, bool], None] | None = None  # told of each final answer: s it took, proxied or not
         self.gateway = self.servers = self.counter = self.discovery = None  # set where the program is wired
 
     def run(self, at: float, event: Callable[..., None], *args) -> None:
@@ -94,9 +95,15 @@
 
     def rate_limit(self, call: ApiCall, retry_after: float) -> None:
         call.slot.answer(calls.rate_limited(retry_after))
+        self.watched(call, False)
 
     def error(self, call: ApiCall) -> None:
         call.slot.answer(calls.ERRORED)
+        self.watched(call, False)
+
+    def watched(self, call: ApiCall, proxied: bool) -> None:
+        if self.watch:
+            self.watch(call, self.now - (call.expires - call.route.client_timeout), proxied)
 
     def count(self, name: int, amount: float, lives: float, told: Told) -> None:
         self.counter.count(name, amount, lives, told)
@@ -119,5 +126,6 @@
         final = one.call.rq is None
         if outcome is Outcome.OK and not final:
             one.call.slot.answer(*calls.proxied(value))
+            self.watched(one.call, True)
             final = True
         self.gateway.try_ended(one, self.now - one.sent, final, charged, used, report or {})
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -176,3 +176,50 @@
         model.fall_multiple = 0.3  # less than the decisions are told: they keep to half of what they are told
     result = fleet.run()
     assert result.cold_falls > 0 and result.broken.get(4) == result.cold_falls
+
+
+# a plan of work on a site (emulator/site.py)
+
+
+def plan_of_work(most, machines=6):
+    from brookhub.maintenance import Machine, Plan
+    made = tuple(Machine(f"m{n}", f"z{n % 3}", 1.0, (f"s-{n}",)) for n in range(machines))
+    return Plan(1, made, ("n0", "n1", "n2"), most_out=most, most_zone=1, capacity_least=0.4, start_within_s=5.0, fill_s=3.0, pause_s=0.0)
+
+
+@pytest.mark.parametrize("most", [1, 2])
+@pytest.mark.parametrize("seed", range(8))
+def test_random_faults_on_a_plan_of_work_break_nothing_and_the_plan_ends(most, seed):
+    """Kills that forget all, stops, splits, lost words, machines that fail by themselves; clocks up to 5% fast or slow."""
+    from brookhub.emulator.site import Site
+    site = Site(plan_of_work(most), limiters=12, seed=seed, work_s=8.0)
+    site.faults(20.0, 120.0)
+    site.run(1500.0)
+    assert not site.breaks, site.breaks[:3]
+    assert site.ended and site.most == most and site.done == {f"m{n}" for n in range(6)}
+
+
+def test_without_agreement_too_many_are_out_and_without_faults_a_plan_takes_little_more_than_the_work():
+    from brookhub.emulator.site import Site
+    alone = Site(plan_of_work(1), limiters=12, seed=1, how="alone", work_s=8.0).run(600.0)
+    assert alone.breaks and alone.most > 1
+    agreed = Site(plan_of_work(2), limiters=12, seed=1, work_s=60.0).run(1500.0)
+    assert agreed.ended < 1.3 * 3 * (60.0 + 1.0 + 3.0 + 1.5)
+
+
+def test_a_fleet_sends_nothing_to_machines_that_a_plan_has_out_and_serves_on():
+    from brookhub.emulator.site import Site
+    spec = loads(SMALL.replace("duration_s = 8.0", "duration_s = 60.0"), Experiment)
+    fleet = Fleet(spec)
+    site = Site(plan_of_work(1, machines=3), limiters=spec.fleet.limiters, seed=1, work_s=3.0, fleet=fleet)
+    sent_to_out = []
+    take = fleet.servers.take
+
+    def seen(one, seat):
+        if one.server.id in seat.off:
+            sent_to_out.append(one)
+        take(one, seat)
+    fleet.servers.take = seen
+    result = fleet.run()
+    assert not site.breaks and len(site.done) >= 2 and not sent_to_out
+    assert not result.broken and result.errored == 0
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -517,6 +517,27 @@
     assert y.state is State.GONE and watch.fit()
 
 
+def test_servers_held_back_for_work_drain_here_whatever_the_list_says_and_are_used_again_as_it_says(port):
+    watch = Discovery(port, dialling, ["a", "b"], [], 0.0, 4.5)
+    port.servers.leave = lambda server: None
+    at(port, watch.heard, news(5, True, ("x", "Ready", 0), ("y", "Ready", 0)))
+    x, y = (watch.roster.servers[watch.ident(name)] for name in "xy")
+    at(port, watch.hold, {"x"})
+    assert (x.state, y.state) == (State.DRAINING, State.READY) and port.gateway.lists[-1] == [(x.id, State.DRAINING)]
+    assert watch.lists("x")  # as discovery has it
+    at(port, watch.heard, news(6, False, ("x", "Ready", 0)))  # told again: it is held back all the same
+    assert x.state is State.DRAINING
+    at(port, watch.heard, news(7, False, ("x", "Terminating", 0)))
+    assert not watch.lists("x") and watch.lists("y") and not watch.lists("z")
+    at(port, watch.hold, set())
+    assert x.state is State.DRAINING  # now it is the list that says so
+    at(port, watch.heard, news(8, False, ("x", "Ready", 9000)))
+    assert x.state is State.READY and x.up_since == 9.0
+    at(port, watch.hold, {"x"})
+    at(port, watch.hold, {"y"})
+    assert (x.state, y.state) == (State.READY, State.DRAINING)
+
+
 def test_a_server_that_takes_over_an_address_inherits_nothing_and_nothing_is_kept_of_what_is_gone(port):
     watch = Discovery(port, dialling, ["a", "b"], [], 0.0, 4.5)
     at(port, watch.heard, news(1, True, ("old", "Ready", 0)))
