--- a/brookhub/checker/maintenance.py
+++ b/brookhub/checker/maintenance.py
@@ -19,7 +19,7 @@
 TIMES_CORE = ("born", "asking_at", "offer_at", "try_at", "freed_at", "well_at")
 TIMES_REGISTER = ("born", "until", "read_at", "asked_at", "valid_until", "sent_at")
 SHARED = ("port", "settings", "plan", "digest", "register", "me", "knew", "refused", "pieces", "wanted")
-BOUND = ("me", "send", "report", "heard", "adopt", "lease", "alone", "base")
+BOUND = ("me", "send", "report", "heard", "adopt", "listed", "lease", "alone", "base")
 FAULTS = {"crash": 1, "stall": 1, "cut": 1, "mute": 1, "hold": 2, "double": 1, "slow": 2, "fail": 1}  # of each kind, as a rule
 OLD = -9.0  # s: what lies further back is the same as this, whatever it is
 
--- a/brookhub/lab/maintenance.py
+++ b/brookhub/lab/maintenance.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import json
-import multiprocessing
-import os
 import threading
 from contextlib import suppress
 from pathlib import Path
@@ -15,6 +13,7 @@
 from ..emulator import Fleet
 from ..emulator.site import Site
 from ..maintenance import Machine, Plan
+from .jobs import keyed, play_all
 from .together import base
 
 STEPS = {"permitted": "leaving", "back": "filling", "brought back": "waits", "withdrawn": "waits"}
@@ -143,9 +142,7 @@
     made += [{"what": "served", "how": how, "most": most, "rate": rate, "seed": seed}
              for how, most in (("none", 0), ("agreed", 1), ("agreed", 2), ("agreed", 4), ("timetable", 2), ("alone", 2))
              for rate in (0, 6) for seed in (1, 2, 3)]
-    for job in made:
-        job["key"] = json.dumps(job, sort_keys=True)
-    return sorted(made, key=lambda job: (job["what"] != "served", job["seed"]))
+    return sorted(keyed(made), key=lambda job: (job["what"] != "served", job["seed"]))
 
 
 def play(job: dict) -> dict:
@@ -174,23 +171,10 @@
     return figures | ({"done": len(site.done), "breaks": len(site.breaks), "most_seen": site.most} if job["how"] != "none" else {})
 
 
-def measure(folder: Path, seeds: int, processes: int | None = None, progress: Callable[[float], None] = lambda done: None) -> list[dict]:
+def measure(folder: Path, seeds: int, processes: int | None = None,
+            progress: Callable[[float], None] = lambda done: None) -> list[dict]:
     """Play what is not in the folder yet; all rows."""
-    folder.mkdir(parents=True, exist_ok=True)
-    path, rows = folder / RESULTS, []
-    if path.exists():
-        for line in path.read_text().splitlines():
-            with suppress(ValueError):  # a torn last line: played again
-                rows.append(json.loads(line))
-    have = {row["key"] for row in rows}
-    todo = [job for job in jobs(seeds) if job["key"] not in have]
-    with open(path, "a") as sink, multiprocessing.get_context("spawn").Pool(processes or os.cpu_count()) as pool:
-        for number, row in enumerate(pool.imap_unordered(play, todo)):
-            rows.append(row)
-            sink.write("\n" * (not number) + json.dumps(row, sort_keys=True) + "\n")
-            sink.flush()
-            progress((number + 1) / len(todo))
-    return rows
+    return play_all(folder / RESULTS, jobs(seeds), play, processes, progress)
 
 
 def least(most: int) -> float:
--- a/brookhub/lab/together.py
+++ b/brookhub/lab/together.py
@@ -6,15 +6,13 @@
 
 from __future__ import annotations
 
-import json
-import multiprocessing
-import os
 from importlib import resources
 from pathlib import Path
 from typing import Callable
 
 from ..config import Experiment, loads
 from ..emulator import Fleet
+from .jobs import keyed, play_all
 
 RESULTS = "together.jsonl"
 WAYS = ("none", "counter", "peers")  # how words travel
@@ -48,9 +46,7 @@
             made += [{"what": "cold", "kind": kind, "way": way, "limiters": limiters, "seed": seed}
                      for limiters in (8, 40, 200) for kind in ("replace", "split")]
             made.append({"what": "grow", "way": way, "limiters": MANY, "seed": seed})
-    for job in made:
-        job["key"] = json.dumps(job, sort_keys=True)
-    return sorted(made, key=lambda job: job["what"] not in ("cold", "grow"))  # the longest first
+    return sorted(keyed(made), key=lambda job: job["what"] not in ("cold", "grow"))  # the longest first
 
 
 def play(job: dict) -> dict:
@@ -146,23 +142,7 @@
 def measure(folder: Path, seeds: list[int], processes: int | None = None,
             progress: Callable[[float], None] = lambda done: None) -> list[dict]:
     """Play what is not in the folder yet; all rows."""
-    folder.mkdir(parents=True, exist_ok=True)
-    path, rows = folder / RESULTS, []
-    if path.exists():
-        for line in path.read_text().splitlines():
-            try:
-                rows.append(json.loads(line))
-            except ValueError:
-                continue  # a torn last line: played again
-    have, todo = {row["key"] for row in rows}, jobs(seeds)
-    todo = [job for job in todo if job["key"] not in have]
-    with open(path, "a") as sink, multiprocessing.get_context("spawn").Pool(processes or os.cpu_count()) as pool:
-        for number, row in enumerate(pool.imap_unordered(play, todo)):
-            rows.append(row)
-            sink.write("\n" * (not number) + json.dumps(row, sort_keys=True) + "\n")
-            sink.flush()
-            progress((number + 1) / len(todo))
-    return rows
+    return play_all(folder / RESULTS, jobs(seeds), play, processes, progress)
 
 
 COLUMNS = {"bad": ("sent_to_bad", "served", "p99_ms", "words"), "errors": ("served", "errored", "words"),
--- a/brookhub/maintenance/core.py
+++ b/brookhub/maintenance/core.py
@@ -95,7 +95,7 @@
                     self.port.send(name, Offer(plan.version, digest))
         if self.register is None:
             self.register = Register(self.me, plan.voters, self.settings.lease, plan.start_within_s, self.born, self.port.send,
-                                     self.report, self.heard, self.learned, self.knew)
+                                     self.report, self.heard, self.learned, self.knew, lambda: sorted(self.port.listed()))
             self.try_at = self.port.now() + self.rank() * self.settings.lease / 4
         return ""
 
@@ -156,11 +156,13 @@
         elif isinstance(message, Told):
             if message.mark >= self.told_mark:
                 self.commit(message.mark, message.table)
-            if self.register and self.register.abstains:
+            if self.register and (self.register.abstains or not self.register.votes()):
                 self.register.learn(message.mark, message.table)
-            self.port.send(peer, Heard(message.mark, self.report()))
+            self.port.send(peer, Heard(self.told_mark, self.report()))
         elif isinstance(message, Heard):
             self.heard(peer, message.report)
+            if self.register:
+                self.register.outdone(message.mark)
         elif self.register is not None:
             self.register.received(peer, message, now)
 
--- a/brookhub/maintenance/register.py
+++ b/brookhub/maintenance/register.py
@@ -29,10 +29,12 @@
     is told at the leader; `adopt(table)` whenever a newer table is known here, held by a majority or not."""
 
     def __init__(self, me: str, voters: tuple[str, ...], lease: float, alone: float, now: float,
-                 send: Callable, report: Callable[[], Report], heard: Callable, adopt: Callable, knows: bool = False):
-        """`alone`: s that one abstains where nobody remembers anything (a permission to start has run out by then)."""
+                 send: Callable, report: Callable[[], Report], heard: Callable, adopt: Callable, knows: bool = False,
+                 listed: Callable[[], list[str]] = lambda: []):
+        """`alone`: s that one abstains where nobody remembers anything (a permission to start has run out by then). `listed`: all
+        limiters: those without a vote were told the tables too, and remember them for voters that all forgot."""
         self.me, self.lease, self.alone, self.born = me, lease, alone, now
-        self.send, self.report, self.heard, self.adopt = send, report, heard, adopt
+        self.send, self.report, self.heard, self.adopt, self.listed = send, report, heard, adopt, listed
         self.base = tuple(voters)  # where no table names them
         self.promised, self.mark, self.table = NOBODY, NOTHING_SAID, Table()
         self.until = now  # the lease that this voter granted, by its own clock
@@ -76,7 +78,7 @@
         elif isinstance(message, Wrote):
             self.confirmed(peer, message, now)
         elif isinstance(message, Read):
-            self.send(peer, State(message.number, self.abstains, self.promised, self.mark, self.table, now < self.until))
+            self.send(peer, State(message.number, self.abstains or not self.votes(), self.promised, self.mark, self.table, now < self.until))
         elif isinstance(message, State):
             self.told(peer, message, now)
 
@@ -123,12 +125,12 @@
         if self.abstains and now >= self.born + leased(self.lease) and now >= self.read_at + self.lease / 3:
             # What it may have voted for before is void by now, so whatever a majority holds, others remember.
             self.number, self.read_at, self.reads = self.number + 1, now, {}
-            for name in self.everyone():
+            for name in dict.fromkeys(self.everyone() + self.listed()):
                 self.send(name, Read(self.number))
             self.knows(now)
 
     def told(self, peer: str, message: State, now: float) -> None:
-        if not self.abstains or message.number != self.number or peer not in self.everyone():
+        if not self.abstains or message.number != self.number:
             return
         self.reads[peer] = message
         self.knows(now)
@@ -183,6 +185,12 @@
             self.step_down()
             self.ballot = (max(self.ballot[0], message.promised[0]), self.me)
 
+    def outdone(self, mark) -> None:
+        """Somebody was told a table of a later ballot: of a life that all voters forgot. Theirs have to be later still."""
+        if self.leads and mark[:2] > self.ballot:
+            self.step_down()
+            self.ballot = (mark[0], self.me)
+
     def step_down(self) -> None:
         self.leads, self.pending, self.held = False, None, None
         self.grants, self.wrote = {}, {}
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -223,3 +223,20 @@
     result = fleet.run()
     assert not site.breaks and len(site.done) >= 2 and not sent_to_out
     assert not result.broken and result.errored == 0
+
+
+def test_what_all_voters_forgot_the_others_remember():
+    """Found by random faults: voters that had all restarted began with low ballots, and who had no vote heeded them no more."""
+    from brookhub.emulator.site import Site
+    site = Site(plan_of_work(1), limiters=8, seed=2, work_s=40.0)
+    while not site.out:
+        site.engine.run(site.engine.now + 0.5)
+    first = set(site.out)
+    marks = site.seats["n5"].core.told_mark
+    for name in ("n0", "n1", "n2"):
+        site.kill(name, 0.5)
+    site.engine.run(site.engine.now + 15.0)
+    held = next(seat.core.register for seat in map(site.seats.get, site.plan.voters) if seat.core.register.leads)
+    assert {name for name, _ in held.table.outs} == first and held.ballot > marks[:2]
+    assert site.seats["n5"].core.told_mark[:2] == held.ballot  # heeded again
+    assert not site.run(900.0).breaks and site.ended
