--- a/brookhub/checker/maintenance.py
+++ b/brookhub/checker/maintenance.py
@@ -20,7 +20,7 @@
 TIMES_REGISTER = ("born", "until", "read_at", "asked_at", "valid_until", "sent_at")
 SHARED = ("port", "settings", "plan", "digest", "register", "me", "knew", "refused", "pieces", "wanted")
 BOUND = ("me", "send", "report", "heard", "adopt", "listed", "lease", "alone", "base")
-FAULTS = {"crash": 1, "stall": 1, "cut": 1, "mute": 1, "hold": 2, "double": 1, "slow": 2, "fail": 1}  # of each kind, as a rule
+FAULTS = {"crash": 1, "stall": 1, "cut": 1, "mute": 1, "split": 1, "hold": 2, "double": 1, "slow": 2, "fail": 1}  # of each kind, as a rule
 OLD = -9.0  # s: what lies further back is the same as this, whatever it is
 
 
@@ -28,7 +28,7 @@
     clock: int
     members: tuple  # each: (core's fields, register's fields), or None while it is stopped for good
     stalled: frozenset
-    away: frozenset  # members whose sends are lost ("mute") or both ways ("cut"): (how, member)
+    away: frozenset  # (how, member or side): "cut" both ways, "mute" what it sends, "split" two of them from the others
     net: tuple  # (source, peer, message), oldest first
     held: tuple  # messages held back
     work: tuple  # for each machine: (told until, worked on until, failed by itself until): 0 where not
@@ -57,7 +57,9 @@
         return float(self.model.clock)
 
     def present(self) -> list[str]:
-        return [name for name in self.model.names if name != self.me and name not in self.model.unseen and self.me not in self.model.unseen]
+        model = self.model
+        return [name for name in model.names if name != self.me and name not in model.stalled
+                and model.joined(self.me, name, model.away) and model.joined(name, self.me, model.away)]
 
     def listed(self) -> list[str]:
         return [name for name in self.model.names if name != self.me]
@@ -111,7 +113,8 @@
         self.blind, self.work_s = blind, work_s
         self.kinds = tuple(sorted(faults or FAULTS))
         self.most_faults = tuple((faults or FAULTS)[kind] for kind in self.kinds)
-        self.clock, self.sent, self.work, self.unseen = 0, [], {}, set()  # unseen: whom membership holds for gone
+        self.clock, self.sent, self.work = 0, [], {}
+        self.stalled, self.away = frozenset(), frozenset()  # of the state being built: whom membership holds for gone
         self.ports = [Port(self, name) for name in self.names]
         self.cores = [self.launch(n, knows=not joins or n < voters - 1) for n in range(voters)]
 
@@ -181,9 +184,13 @@
 
     # the schedule
 
-    def reachable(self, state: State, source: str, peer: str) -> bool:
+    def joined(self, source: str, peer: str, away: frozenset) -> bool:
+        """Whether words from one reach the other: `cut` members reach nobody, `mute` ones are not heard, `split` names a side."""
         return not any((how == "cut" and member in (source, peer)) or (how == "mute" and member == source)
-                       for how, member in state.away)
+                       or (how == "split" and (source in member) != (peer in member)) for how, member in away)
+
+    def reachable(self, state: State, source: str, peer: str) -> bool:
+        return self.joined(source, peer, state.away)
 
     def plain(self, state: State) -> tuple:
         """The oldest message for a member that runs; else work that may begin; else the clock."""
@@ -208,6 +215,8 @@
             if left.get("stall"):
                 made.append((("stall", name), 1))
             made += [((how, name), 1) for how in ("cut", "mute") if left.get(how) and not state.away]
+        if left.get("split") and not state.away and len(self.names) > 3:
+            made += [(("split", (one, other)), 1) for one, other in zip(self.names, self.names[1:])]
         if state.away:
             made.append((("heal",), 0))
         first = [number for number, one in enumerate(state.net) if one[1] not in state.stalled][:None if self.rounds else 1]
@@ -221,7 +230,7 @@
         return made
 
     def after(self, state: State, action: tuple) -> State:
-        self.clock, self.sent, self.unseen = state.clock, [], state.stalled | {member for _, member in state.away}
+        self.clock, self.sent, self.stalled, self.away = state.clock, [], state.stalled, state.away
         self.work = {one.name: times for one, times in zip(self.plan.machines, state.work)}
         members, net, held, away, stalled = list(state.members), list(state.net), list(state.held), state.away, state.stalled
         left, what = dict(zip(self.kinds, state.left)), action[0]
@@ -273,7 +282,7 @@
         elif what == "wake":
             stalled = stalled - {action[1]}
             run(self.names.index(action[1]), lambda core: core.tick())
-        elif what in ("cut", "mute"):
+        elif what in ("cut", "mute", "split"):
             left[what] -= 1
             away = away | {action}
         elif what == "heal":
--- a/brookhub/lab/maintenance.py
+++ b/brookhub/lab/maintenance.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import threading
 from contextlib import suppress
 from pathlib import Path
@@ -57,9 +58,10 @@
     """The people who work on machines of a process lab: they follow the limiters' logs, begin as soon as one says that it is
     safe, announce the drain to discovery, take the machine down, work, and bring it back cold.
 
+    A machine's list has servers by their numbers and limiters by their names (n4): those are ended by SIGTERM.
     `outs`: (machine, from s, to s; 0 while it is out), from "safe to work" to its return."""
 
-    def __init__(self, lab, machines: dict[str, list[int]], work_s: float, grace_s: float):
+    def __init__(self, lab, machines: dict[str, list], work_s: float, grace_s: float):
         self.lab, self.machines, self.work_s, self.grace_s = lab, machines, work_s, grace_s
         self.outs: list[list] = []
         self.read = [0] * len(lab.limiters)
@@ -87,12 +89,18 @@
 
     def work(self, out: list) -> None:
         try:
-            servers = self.machines[out[0]]
+            servers = [one for one in self.machines[out[0]] if isinstance(one, int)]
+            limiters = [self.lab.limiters[int(one[1:])] for one in self.machines[out[0]] if isinstance(one, str)]
             self.lab.drain(servers)
             sleep(self.grace_s)
             for ident in servers:
                 self.lab.dead(ident)
+            for one in limiters:
+                self.lab.kill(one, None, signal.SIGTERM)
             sleep(self.work_s)
+            for one in limiters:
+                one.start()
+                self.lab.wait_ready(one)
             out[2] = monotonic()
             self.lab.returned(servers)
         except BaseException as met:
--- a/tests/test_maintenance_processes.py
+++ b/tests/test_maintenance_processes.py
@@ -29,9 +29,11 @@
 
 
 def plan(version=1, most=1, machines=MACHINES):
-    return PLAN % (version, most) + "".join(
-        f'[[machines]]\nname = "{name}"\nservers = [{", ".join(chr(34) + f"s-{one}" + chr(34) for one in servers)}]\n'
-        for name, servers in machines.items())
+    text = PLAN % (version, most)
+    for name, own in machines.items():
+        text += f'[[machines]]\nname = "{name}"\nservers = {json.dumps([f"s-{one}" for one in own if isinstance(one, int)])}\n'
+        text += "".join(f'limiter = "{one}"\n' for one in own if isinstance(one, str))
+    return text
 
 
 def said(lab, *events):
@@ -103,6 +105,21 @@
     lab(script, 110.0, limiters=5, **LARGE)
 
 
+def test_a_limiter_s_own_machine_and_a_host_with_both_go_out_in_turn_and_no_call_is_lost(lab):
+    machines = {"m0": [0], "host": [1, "n4"], "box": ["n3"]}
+
+    def script(lab):
+        assert until(all_hold(lab, 5), 6)
+        workers = Workers(lab, machines, 1.0, 1.0)
+        lab.give_plan(lab.limiters[0], plan(machines=machines))
+        assert until(lambda: done(lab) == set(machines), 50), said(lab, "")[-6:]
+        workers.stop()
+        assert workers.most_out() == 1 and [one[0] for one in workers.outs][0] == "m0"  # limiters' machines last
+        assert lab.limiters[3].starts == lab.limiters[4].starts == 2
+    outcome = lab(script, 80.0, limiters=5, **LARGE)
+    assert outcome.result.lost == 0 and outcome.verdict.excused == 0  # its clients' connections ended between calls
+
+
 def test_all_limiters_restarted_in_mid_plan_remember_nothing_and_take_no_second_machine(lab):
     def script(lab):
         assert until(all_hold(lab, 5), 6)
