--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -419,3 +419,72 @@
         before = quota.pace.rate = 2.0  # what was used: from more than that a late answer goes back at once
         world.call(payer)
         assert (quota.pace.rate < before) is slower
+
+
+class Word:
+    """What the fleet says of servers, as choices.Signals would."""
+
+    def __init__(self):
+        self.shunned, self.dues, self.sawn, self.tries = set(), set(), [], []
+
+    def shuns(self, server):
+        return server in self.shunned
+
+    def due(self, server):
+        return server in self.dues
+
+    def tried(self, server):
+        self.tries.append(server)
+
+    def saw(self, server, good):
+        self.sawn.append((server, good))
+
+    def listed(self, servers):
+        self.servers = servers
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_server_that_the_fleet_leaves_alone_gets_nothing_and_by_turn_one_try_that_may_run_again(seed):
+    world, word = World(seed=seed, routes=[Route("read", 1.0, 4.0), Route("once", 1.0, 4.0, Repeat.NON_IDEMPOTENT)]), Word()
+    world.gateway.choices_told(word)
+    assert set(word.servers) == {0, 1, 2}
+    word.shunned = {0, 1}
+    customer = world.customer()
+    for route in (0, 1, 0, 1):
+        world.call(customer, route=route)
+        world.run(0.05)
+        for one in list(world.out):
+            world.end(one, Outcome.OK)
+    assert world.sent and {one.server.id for one in world.sent} == {2} == set(word.tries)
+    word.dues, before = {0}, len(world.sent)
+    world.call(customer, route=1)  # not to run twice: no call to find out by
+    world.run(0.05)
+    assert {one.server.id for one in world.sent[before:]} <= {2}
+    for one in list(world.out):
+        world.end(one, Outcome.OK)
+    before = len(world.sent)
+    world.call(world.customer(2), route=0)
+    world.run(0.05)
+    first = world.sent[before]
+    assert first.server.id == 0  # though it is worth nothing yet
+    word.dues = {1}
+    world.end(first, Outcome.ERROR)
+    world.run(0.1)
+    assert [one.server.id for one in world.sent[before + 1:]] in ([], [2])  # a further try is no such call
+    assert (0, False) in word.sawn and (2, True) in word.sawn
+
+
+def test_without_word_of_others_nothing_is_shunned_and_the_same_is_sent():
+    sent = []
+    for told in (False, True):
+        world = World(seed=3)
+        if told:
+            world.gateway.choices_told(Word())
+        customer = world.customer()
+        for _ in range(6):
+            world.call(customer)
+            world.run(0.1)
+            for one in list(world.out):
+                world.end(one, Outcome.OK)
+        sent.append([one.server.id for one in world.sent])
+    assert sent[0] == sent[1] and sent[0]
