--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -240,3 +240,21 @@
     assert {name for name, _ in held.table.outs} == first and held.ballot > marks[:2]
     assert site.seats["n5"].core.told_mark[:2] == held.ballot  # heeded again
     assert not site.run(900.0).breaks and site.ended
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_voters_leave_and_join_one_at_a_time_while_a_plan_runs(seed):
+    import msgspec
+
+    from brookhub.emulator.site import Site
+    plan = plan_of_work(1)
+    site = Site(plan, limiters=10, seed=seed, work_s=8.0)
+    while not site.done:
+        site.engine.run(site.engine.now + 1.0)
+    following = msgspec.structs.replace(plan, version=2, voters_next=("n2", "n4", "n5"))
+    assert site.seats["n7"].core.give(following) == ""  # to one without a vote
+    site.plan = msgspec.structs.replace(plan, voters=("n0", "n1", "n2", "n4", "n5"))  # whom the site looks at
+    site.faults(10.0, site.engine.now + 60.0)
+    site.run(1500.0)
+    assert not site.breaks, site.breaks[:3]
+    assert site.ended and site.seats["n4"].core.register.table.voters == ("n2", "n4", "n5")
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -350,6 +350,18 @@
     assert [model.ends(state) for state in found.ends[:6]] == [""] * len(found.ends[:6])
 
 
+def test_the_checker_finds_no_two_machines_of_a_zone_out_where_one_is_the_most():
+    model = Model(3, 2, machines=4, zone_most=1, zones=2, rounds=True)
+    found = search(model, deviations=2, depth=30, states=3000, seconds=15.0, sample=400)
+    assert not found.broken and found.states > 500
+    assert [model.ends(state) for state in found.ends[:4]] == [""] * len(found.ends[:4])
+    loose = Model(3, 2, machines=4, zone_most=1, zones=2, rounds=True)  # and it would be found: limiters with other zones
+    for core in loose.cores:
+        core.plan = msgspec.structs.replace(core.plan, machines=tuple(
+            msgspec.structs.replace(one, zone="prqs"[number]) for number, one in enumerate(core.plan.machines)))
+    assert "zone" in search(loose, deviations=0, depth=30, states=500, seconds=15.0).broken
+
+
 def test_the_checker_goes_message_by_message_too():
     found = search(Model(3, 1, 2), deviations=1, depth=60, states=6000, seconds=15.0)
     assert not found.broken and found.states > 1000
