Maintenance: voters that remember nothing hear each other by a third where a link is cut one way

Reproduced every time by cutting n0's words to n1 and n2 at the heal of the split: n1 and n2 had their plan from during the split, remember nothing and wait for the answers of all three voters; n0's never arrive, and nobody leads until the cut ends (steward 0.7 s after it). Ruled out: the plan's way (all five logged version 2) and membership (n3, n4 joined both). Lines: Register.knows, which needs all of everyone().

Change: from the fourth question in vain on, Read and State also go by a third limiter that is present. The test now cuts at the heal, where the old code always failed; a test on the core alone for three cuts.

--- a/brookhub/maintenance/core.py
+++ b/brookhub/maintenance/core.py
@@ -13,12 +13,15 @@
 import msgspec
 from xxhash import xxh3_64_intdigest
 
-from .messages import (FILLING, LEAVING, MOST_PIECES, NOTHING_SAID, OPEN, PIECE, Heard, Offer, Piece, Report, Table, Told,
-                       Want)
+from .messages import (FILLING, LEAVING, MOST_PIECES, NOTHING_SAID, OPEN, PIECE, Heard, Offer, Pass, Piece, Read, Report, State,
+                       Table, Told, Want)
 from .plan import Machine, Plan, fits, order
 from .register import Register, leased
 
 
+ASKED_AGAIN = 3  # words of who asks to remember, after which the way to a voter is taken for cut: two lost ones are chance
+
+
 class MaintenancePort(Protocol):
     """How maintenance acts. `present()`: the limiters that are there, without this one; `listed()`: all of the fleet."""
 
@@ -94,7 +97,7 @@
                 if name != self.me:
                     self.port.send(name, Offer(plan.version, digest))
         if self.register is None:
-            self.register = Register(self.me, plan.voters, self.settings.lease, plan.start_within_s, self.born, self.port.send,
+            self.register = Register(self.me, plan.voters, self.settings.lease, plan.start_within_s, self.born, self.say,
                                      self.report, self.heard, self.learned, self.knew, lambda: sorted(self.port.listed()))
             self.try_at = self.port.now() + self.rank() * self.settings.lease / 4
         self.keep_off(self.told if self.told_mark > self.register.mark else self.register.table)
@@ -165,9 +168,26 @@
             self.heard(peer, message.report)
             if self.register:
                 self.register.outdone(message.mark)
+        elif isinstance(message, Pass):
+            self.passed(message)
         elif self.register is not None:
             self.register.received(peer, message, now)
 
+    def say(self, peer: str, message) -> None:
+        """The register's words. Who remembers nothing needs every voter's answer: where it asks in vain (a link may be cut one way)
+        question and answer also go by a third, another one each time."""
+        self.port.send(peer, message)
+        if isinstance(message, (Read, State)) and message.number > ASKED_AGAIN and peer in self.register.everyone():
+            others = sorted(name for name in self.port.present() if name != peer)
+            if others:
+                self.port.send(others[message.number % len(others)], Pass(self.me, peer, message))
+
+    def passed(self, message: Pass) -> None:
+        if message.to != self.me:
+            self.port.send(message.to, message)
+        elif message.origin != self.me:
+            self.received(message.origin, message.message)
+
     def heard(self, peer: str, report: Report) -> None:
         self.reports[peer] = (self.port.now(), report)
 
--- a/brookhub/maintenance/messages.py
+++ b/brookhub/maintenance/messages.py
@@ -96,6 +96,13 @@
     leased: bool
 
 
+class Pass(Struct):
+    """Between two of which one does not hear the other: a third hands it on."""
+    origin: Name
+    to: Name
+    message: Union[Read, State]
+
+
 class Told(Struct):
     """A table that a majority holds, for those that do not vote."""
     mark: Mark
@@ -126,7 +133,7 @@
     data: Annotated[bytes, msgspec.Meta(max_length=PIECE)]
 
 
-Message = Union[Ask, Grant, Deny, Write, Wrote, Read, State, Told, Heard, Offer, Want, Piece]
+Message = Union[Ask, Grant, Deny, Write, Wrote, Read, State, Pass, Told, Heard, Offer, Want, Piece]
 _encoder, _decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
 
 
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -338,6 +338,28 @@
     assert any(core.register.table.outs for core in cores.values())
 
 
+@pytest.mark.parametrize("cut", [{("n0", "n1"), ("n0", "n2")}, {("n1", "n0"), ("n2", "n0")}, {("n1", "n0"), ("n0", "n2")}])
+def test_voters_that_remember_nothing_hear_each_other_by_a_third_where_a_link_is_cut_one_way(cut):
+    """Seen on processes, where it held a plan up for as long as the cut lasted: two new voters waited for the third, whose
+    answers did not reach them."""
+    names = [f"n{n}" for n in range(4)]  # n3 has no vote
+    ports = {name: Alone([other for other in names if other != name]) for name in names}
+    cores = {name: Maintenance(port, name, Settings(lease=1.0, offer=0.0)) for name, port in ports.items()}
+    for core in cores.values():
+        core.give(plan(start_within_s=2.0))
+    for _ in range(100):
+        for name, port in ports.items():
+            port.run(cores[name], 0.25)
+        for _ in range(6):
+            for name, port in ports.items():
+                out, port.out = port.out, []
+                for peer, message in out:
+                    if (name, peer) not in cut:
+                        cores[peer].received(name, message)
+    assert any(core.register.table.outs for core in cores.values())
+    assert cores["n3"].told.outs  # and those without a vote were told
+
+
 # the checker
 
 
--- a/tests/test_maintenance_processes.py
+++ b/tests/test_maintenance_processes.py
@@ -89,11 +89,13 @@
         lab.give_plan(lab.limiters[1], plan(machines={"m0": [0], "m1": [2]}))  # another operator, the same version
         time.sleep(1.0)
         lab.split([], False)
+        # And now drop what one voter sends, one way. None of the three remembers anything yet: they need each other's answers, and
+        # get them by a third. (Cut some moments after the heal this test once failed and mostly passed.)
+        for way in ("n1", "n2"):
+            lab.mesh.set("n0", way, cut=True)
         assert until(lambda: said(lab, "plan refused"), 10)
         line = said(lab, "plan refused")[0][1]
         assert line["digest"] != line["held"] and len(line["digest"]) == len(line["held"]) == 12
-        for way in ("n1", "n2"):  # and now drop what one voter sends, one way
-            lab.mesh.set("n0", way, cut=True)
         for one in lab.limiters:
             if one.index in (0, 1, 2):
                 lab.give_plan(one, plan(version=2))  # settled between the two
