Slow answers of cold servers no longer narrow a gateway's window for the warm ones

Seen now: cold ones are slow by themselves, and each slow answer narrowed the window for all (Upstreams.judge). Change: only warm servers' slow answers narrow it; cold ones have a budget of their own. A slow good answer no longer widens either.

--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -554,10 +554,12 @@
         # A gateway sees a server seldom, the fleet often: while answers are slow, fewer tries are out in all.
         # Tries without an answer count less: it may be lost where work runs well, if none comes all is stuck.
         # One that turns away tells of itself alone: it drains, or its answers would have been slow before.
-        if not away and took > min(CROWDED * self.best or patience, patience):
+        # Cold ones are slow by themselves and have a budget of their own: that is no reason to spare the warm.
+        slow = took > min(CROWDED * self.best or patience, patience)
+        if slow and not away and self.is_warm(view):
             self.window = min(self.window, self.out + 1) * NARROW ** (1 if good else GIVEN_UP)
             self.window = max(1.0, WINDOW * len(self.servers) / self.gateways, self.window)
-        elif good and 2 * self.out + 2 >= self.window:
+        elif good and not slow and 2 * self.out + 2 >= self.window:
             self.window *= WIDEN
         view.seen, view.free_at = now, now if good else now + REST * (1 - view.good / FAILING)
         if away:  # all gateways meet it: by chance they don't come back together, and the part is made up for
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -56,6 +56,30 @@
     assert world.gateway.upstreams.window >= before
 
 
+def test_cold_servers_that_answer_slowly_do_not_narrow_what_the_warm_get():
+    # Guards: after six in ten servers were replaced, cold ones (slow, with a budget of their own) narrowed each gateway's
+    # window as often as jammed ones, and the calls they had room for waited for it (0.66 of their warming used).
+    def narrowed(cold):
+        world = World(servers=8, plans=[WIDE], max_tries=5, counter_wait=0.0, gateways=4, cold_from=0.2, warm_after=30.0)
+        payer = world.customer()
+        for _ in range(120):
+            world.call(payer)
+            world.run(0.05)
+            for one in list(world.out):
+                world.end(one, Outcome.OK)
+        for view in world.gateway.upstreams.servers:
+            view.up_since = world.now if cold else 0.0
+        before = world.gateway.upstreams.window
+        for _ in range(300):
+            world.call(payer)
+            world.run(0.05)
+            for one in list(world.out):
+                if world.now - one.sent >= 0.8:
+                    world.end(one, Outcome.OK)
+        return world.gateway.upstreams.window / before
+    assert narrowed(cold=True) > 0.9 > narrowed(cold=False)
+
+
 class Crowd:
     """One counter for many gateways: `capacity` calls a second in turn, a call not answered in `wait` is given up and
     still worked on (seeded; the gateways' clocks are one)."""
