Recovery: a wiped, swapped or split counter is told by its epoch, and counted anew once

Need (issue: counter lost, split or replaced): today the counter is one address that is up or down; wiped or split it lets in more than the quotas, and nothing tells. Also: an ask refused in the next window is not given back there (found by the ledger: a part below nothing; Quota.decide).

--- a/brookhub/cli.py
+++ b/brookhub/cli.py
@@ -258,6 +258,20 @@
     click.echo(f"plot: {measuring.plot(rows, folder / 'together.png')}")
 
 
+@lab.command("recovery")
+@click.option("--out", type=click.Path(file_okay=False), default="lab/recovery", show_default=True)
+@click.option("--seed", "seeds", type=int, multiple=True, help="may be given often (default: 1 to 3)")
+@click.option("--processes", type=int, help="worker processes (default: one a core)")
+def lab_recovery(out: str, seeds: tuple[int, ...], processes: int | None) -> None:
+    """A counter wiped, swapped and split in the emulator, with and without recovery; a table and a plot."""
+    from .lab import recovery as measuring
+    folder = Path(out)
+    with click.progressbar(length=1000, label="recovery", file=sys.stderr) as bar:
+        rows = measuring.measure(folder, list(seeds or range(1, 4)), processes, lambda done: bar.update(int(done * 1000) - bar.pos))
+    click.echo(measuring.table(rows))
+    click.echo(f"plot: {measuring.plot(rows, folder / 'recovery.png')}")
+
+
 @lab.command("maintenance")
 @click.option("--out", type=click.Path(file_okay=False), default="lab/maintenance", show_default=True)
 @click.option("--seeds", type=int, default=1000, show_default=True, help="runs with random faults")
--- a/brookhub/config/__init__.py
+++ b/brookhub/config/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from .load import ConfigError, load, loads
-from .models import Experiment, FaultSpec, FleetSpec, GatewayFile, LoadSpec, MembershipFile, PlanFile, SweepSpec
+from .models import Experiment, FaultSpec, FleetSpec, GatewayFile, LoadSpec, MembershipFile, PlanFile, RecoveryFile, SweepSpec
 
 __all__ = ["ConfigError", "load", "loads", "Experiment", "FaultSpec", "FleetSpec", "GatewayFile", "LoadSpec",
-           "MembershipFile", "PlanFile", "SweepSpec"]
+           "MembershipFile", "PlanFile", "RecoveryFile", "SweepSpec"]
--- a/brookhub/config/models.py
+++ b/brookhub/config/models.py
@@ -63,6 +63,9 @@
     delay_s: float = Field(0.002, ge=0)
     wait_s: float = Field(0.05, gt=0)
     signals: bool = Field(False, description="limiters tell each other of sick servers by it; only in the emulator")
+    recovery: bool = Field(False, description="limiters tell a wiped or another counter, and add again what they counted")
+    beat_s: float = Field(1.0, gt=0, le=10, description="of recovery: between two looks at the counter's register")
+    ledgers_last: bool = Field(False, description="a limiter's ledger outlives its restart, as on a disk; only in the emulator")
 
 
 class MembershipSpec(Strict):
@@ -116,7 +119,7 @@
     at_s: float = Field(ge=0)
     action: Literal["kill_limiters", "restart_limiters", "term_limiters", "stall_limiters", "split_limiters",
                     "cut_peers", "lose_packets", "cut_links", "drain_servers", "replace_servers", "zone_lost",
-                    "counter_down", "counter_wipe", "counter_split", "lose_answers", "slow_servers",
+                    "counter_down", "counter_wipe", "counter_lose", "counter_swap", "counter_split", "counter_late", "lose_answers", "slow_servers",
                     "failing_servers", "silent_servers", "reset_links", "delay_links"]
     share: float = Field(0.1, ge=0, le=1)
     zone: int = Field(0, ge=0)
@@ -200,6 +203,14 @@
         return self
 
 
+class RecoveryFile(Strict):
+    """How a limiter tells a wiped, split or other counter (deploy/recovery.example.toml). Off unless the start file names it."""
+
+    beat_s: float = Field(1.0, ge=0.2, le=10, description="between two looks at the counter's register; the same at all")
+    missing_most: float = Field(0.1, ge=0, lt=1, description="share of the limiters that may be missing before quotas are parted")
+    ledger: str = Field("", description="path of the ledger's file, on a disk that lasts; empty: kept in memory alone")
+
+
 class MachineSpec(Strict):
     """A machine to be taken out for work: servers on it by their names in discovery's list, a limiter by its name among the
     peers, or both."""
@@ -261,6 +272,7 @@
     known: Any = None
     membership: str | None = Field(None, description="path of the file of peers; off where it is not named")
     maintenance: str | None = Field(None, description="path of the plan of work; off where it is not named, and without peers")
+    recovery: str | None = Field(None, description="path of the file on the counter's recovery; off where it is not named")
     settings: dict[str, Any]
 
     def start_json(self) -> dict:
--- a/brookhub/emulator/fleet.py
+++ b/brookhub/emulator/fleet.py
@@ -17,6 +17,7 @@
 from ..choices import TOPIC, ByCounter, ByPeers, Signals, Turns, unpack
 from ..config.models import Experiment, FaultSpec
 from ..interface import ApiCall, Group, Plan, Repeat, Route, State
+from ..recovery import Ledger
 from .engine import Engine
 from ..membership import ALIVE, Membership
 from .limiter import Seat
@@ -139,6 +140,8 @@
             "warm_after": servers.warm_after_s, "fall_multiple": servers.fall_multiple, "fall_within": servers.fall_within_s,
             "asks_for_servers": False, "ask_within": 10.0}
         self.net = PeerNet(self.engine, self.seed) if fleet.membership.on else None
+        self.heard: list[tuple] = []  # what recovery logged: (s, limiter, event, facts)
+        self.kept: dict[int, Ledger | None] = {}  # ledgers on disks that last
         self.seats: list[Seat] = []
         for index in range(fleet.limiters):
             self.seats.append(self.launch(index))
@@ -157,6 +160,9 @@
         seat.servers(self.entries(), whole=True)
         if self.net:
             self.join(seat)
+        if self.experiment.fleet.counter.recovery:
+            seat.recover(self.experiment.fleet.counter, self.experiment.fleet.limiters, self.kept.get(index))
+            self.kept[index] = seat.recovery.ledger if self.experiment.fleet.counter.ledgers_last else None
         if self.experiment.fleet.counter.signals:
             carrier = ByCounter(seat, self.seed)
             seat.signals = Signals(carrier, self.turns(seat))
@@ -168,7 +174,7 @@
         """The limiter's membership: at the run's start all know each other, restarted ones begin with nothing."""
         spec, count = self.experiment.fleet.membership, self.experiment.fleet.limiters
         seat.peer = peer = PeerSeat(self.net, f"n{seat.index}", told=lambda live, rank, sure: seat.gateway.fleet_told(
-            live, rank, sure if spec.hard_by == "sure" else live))
+            live, rank, sure if spec.hard_by == "sure" else live) or seat.recovery and seat.recovery.fleet(sure))
         if spec.signals:
             turns = self.turns(seat)
             peer.on_changed = lambda member, state: turns.told(peer.core.present)
@@ -329,6 +335,13 @@
             engine.after(fault.for_s, lambda: setattr(self.counter, "down", False))
         elif action == "counter_wipe":
             self.counter.wipe()
+        elif action == "counter_lose":
+            self.counter.lose(fault.share)
+        elif action == "counter_swap":
+            engine.after(fault.for_s, self.counter.swap())
+        elif action == "counter_late":
+            self.counter.delay += fault.delay_s
+            engine.after(fault.for_s, lambda: setattr(self.counter, "delay", self.counter.delay - fault.delay_s))
         elif action == "counter_split":
             self.counter.split(True)
             engine.after(fault.for_s, lambda: self.counter.split(False))
--- a/brookhub/emulator/limiter.py
+++ b/brookhub/emulator/limiter.py
@@ -5,21 +5,44 @@
 
 from __future__ import annotations
 
+import random
 from typing import Callable
 
 from ..interface import ApiCall, Outcome, Server, State, Told, UpstreamTry
+from ..recovery import Ledger, Recovery
+from ..recovery import Settings as RecoverySettings
 from ..roster import Customers, Roster
 
 
 CONNECT_WITHIN = 0.25  # s that a dial over a cut link is waited for
 
 
+class Counted:
+    """Recovery's port at a seat: one calendar for all, the simulated time."""
+
+    def __init__(self, seat: "Seat", rng: random.Random):
+        self.seat, self.chance = seat, rng.random
+        self.add, self.later = seat.add, seat.later
+
+    def now(self) -> float:
+        return self.seat.now
+
+    clock = now
+
+    def grant(self, part: float) -> None:
+        self.seat.gateway.counter_told(part)
+
+    def log(self, event: str, **facts) -> None:
+        self.seat.fleet.heard.append((self.seat.now, self.seat.index, event, facts))
+
+
 class Seat:
     """A limiter's place in the fleet. After `kill()` nothing it scheduled runs, and its API calls are lost."""
 
     def __init__(self, fleet, index: int, zone: int, seed: int, terms: dict):
         self.fleet, self.engine, self.index, self.zone = fleet, fleet.engine, index, zone
         self.alive, self.closing, self.wakes = True, False, 0.0  # while stalled nothing of it runs; what came waits, in order
+        self.recovery: Recovery | None = None
         self.peer = self.signals = None  # its membership's place and its part in the shared signals, where the fleet has them
         self.off: set[int] = set()  # servers that a plan of work keeps it off
         self.cut: dict[int, float] = {}  # servers that its links do not reach, each until when (s)
@@ -77,8 +100,17 @@
             self.calls.pop(call.id, None)
 
     def count(self, name: int, amount: float, lives: float, told: Told) -> None:
+        (self.recovery.count if self.recovery else self.add)(name, amount, lives, told)
+
+    def add(self, name: int, amount: float, lives: float, told: Told) -> None:
         self.fleet.counter.count(self, name, amount, lives, told)
 
+    def recover(self, spec, limiters: int, ledger: Ledger | None) -> None:
+        """Recovery between the decisions and the counter; its port is this seat."""
+        self.recovery = Recovery(Counted(self, random.Random(f"recovery/{self.fleet.seed}/{self.index}/{self.now}")), self.index, limiters,
+                                 RecoverySettings(spec.beat_s), ledger)
+        self.recovery.start()
+
     def probe(self, server: Server) -> None:
         """Unused by the decisions today (docs/emulator.md): no probe is modelled."""
 
--- a/brookhub/emulator/world.py
+++ b/brookhub/emulator/world.py
@@ -11,6 +11,7 @@
 import random
 from collections import deque
 from dataclasses import dataclass, field
+from typing import Callable
 
 from ..interface import Outcome, State
 
@@ -179,6 +180,18 @@
         for keeper in self.keepers:
             keeper.counts.clear()
 
+    def lose(self, share: float) -> None:
+        """A part of the names is lost."""
+        for keeper in self.keepers:
+            names = list(keeper.counts)
+            for name in self.rng.sample(names, round(share * len(names))):
+                del keeper.counts[name]
+
+    def swap(self) -> Callable[[], None]:
+        """Another, empty keeper takes its place; what is returned brings the old one back, with its old counts."""
+        old, self.keepers = self.keepers, [Keeper()]
+        return lambda: setattr(self, "keepers", old)
+
     def split(self, on: bool) -> None:
         self.keepers = [self.keepers[0], Keeper()] if on else [self.keepers[0]]
 
--- a/brookhub/interface.py
+++ b/brookhub/interface.py
@@ -38,6 +38,7 @@
     RESET = "the connection broke"
     CANCELLED = "cancelled here"
     UNSENT = "never sent"
+    NOTED = "kept by the recovery, to be added later; there is no total"
 
 
 class State(Enum):
--- a/brookhub/lab/processes.py
+++ b/brookhub/lab/processes.py
@@ -198,9 +198,18 @@
         told = start_file(self.experiment, one.index, random.Random(f"{self.seed}/{one.index}/{one.starts}").getrandbits(62),
                           "%s:%d" % one.at, self.discovery_links[one.address].address,
                           self.counter_links[one.address].address, membership,
-                          str(self.plan_path(one)) if membership else None)
+                          str(self.plan_path(one)) if membership else None, self.recovery_file(one))
         one.config.write_text(json.dumps(told))
 
+    def recovery_file(self, one: Limiter) -> str | None:
+        """The operator's file on the counter's recovery; a ledger on disk outlives the limiter's restarts."""
+        spec = self.experiment.fleet.counter
+        if not spec.recovery:
+            return None
+        path, ledger = self.folder / f"n{one.index}.recovery.toml", self.folder / f"n{one.index}.ledger"
+        path.write_text(f"beat_s = {spec.beat_s}\n" + f'ledger = "{ledger}"\n' * spec.ledgers_last)
+        return str(path)
+
     def plan_path(self, one: Limiter) -> Path:
         """Where a limiter looks for a plan of work; nothing is there until somebody gives it one."""
         return self.folder / f"n{one.index}.plan.toml"
@@ -385,6 +394,14 @@
             self.after(fault.for_s, lambda: setattr(self.counter, "mode", "ok"))
         elif action == "counter_wipe":
             self.counter.wipe()
+        elif action == "counter_lose":
+            self.counter.lose(fault.share)
+        elif action == "counter_swap":
+            self.counter.swap()
+            self.after(fault.for_s, self.counter.restore)
+        elif action == "counter_late":
+            self.counter.delay += fault.delay_s
+            self.after(fault.for_s, lambda: setattr(self.counter, "delay", self.counter.delay - fault.delay_s))
         elif action == "counter_split":
             odd = {one.address for one in self.limiters if one.index % 2}
             self.counter.split(lambda limiter: int(limiter in odd))
--- /dev/null
+++ b/brookhub/lab/recovery.py
@@ -0,0 +1,176 @@
+"""Measures a counter that is lost, split or replaced: units over each customer's quota and ceiling, and s until counts agree again.
+
+In the emulator, with and without recovery in one run; one row a job (JSON lines), a folder half played goes on where it stopped.
+"over": the most units that a customer got in any span beyond burst + rate x span, in bursts; the same for the ceiling.
+docs/counter-recovery.md reads the plot and the table.
+"""
+
+from __future__ import annotations
+
+from importlib import resources
+from pathlib import Path
+from typing import Callable
+
+from ..config import Experiment, loads
+from ..emulator import Fleet
+from .jobs import keyed, play_all
+
+RESULTS = "recovery.jsonl"
+AT, AFTER = 12.0, 10.0  # s: when the counter is hurt, and the run goes on after that
+LOAD = 1.5  # times the plans' calls: above every quota, so that whatever is granted too much is used
+LOOK = 0.05  # s between looks at whether counts agree
+KINDS = ("none", "wipe", "lose", "swap", "split")
+LIMITERS, LENGTHS = (4, 40, 200), (4.0, 12.0)
+
+
+def jobs(seeds: list[int]) -> list[dict]:
+    made = []
+    for seed in seeds:
+        for way in ("off", "on"):
+            for limiters in LIMITERS:
+                for kind in KINDS:
+                    made += [{"kind": kind, "way": way, "limiters": limiters, "for_s": for_s, "seed": seed}
+                             for for_s in (LENGTHS if kind in ("swap", "split") else (0.0,))]
+    return sorted(keyed(made), key=lambda job: -job["limiters"] * (20 + job["for_s"]))
+
+
+def bound(plan, kind: str, asked: float, beat: float, wait: float) -> float:
+    """The stated bound of what a customer may get over its quota in any span, in units (docs/counter-recovery.md). `asked`: units
+    a second that the customer asks for; times s; a split in parts that are larger than `missing_most`."""
+    gap = beat + 3 * wait  # until the last limiter knows: a beat, the register, a claim, a token
+    change = min(plan.burst, asked * gap)  # what a window's count held is not seen meanwhile
+    changes = {"none": 0, "wipe": 1, "lose": 1, "swap": 2, "split": 2}[kind]
+    sides = plan.rate * (4 * beat + wait) if kind == "split" else 0.0  # until a whole beat's roll lacks the other side
+    return changes * change + sides
+
+
+class Debt:
+    """The most that came in any span beyond burst + rate x span: a store that may go below nothing."""
+
+    def __init__(self, rate: float, burst: float):
+        self.rate, self.burst, self.level, self.at, self.worst = rate, burst, burst, 0.0, 0.0
+
+    def take(self, now: float, units: float) -> None:
+        self.level = min(self.burst, self.level + (now - self.at) * self.rate) - units
+        self.at, self.worst = now, max(self.worst, -self.level)
+
+
+def agree(fleet: Fleet) -> bool:
+    """Whether the keeper that all see holds, for each name of a window that runs, what the living limiters added."""
+    keeper, sums = fleet.counter.keepers[0], {}
+    seats = [seat for seat in fleet.seats if seat.alive]
+    epochs = {seat.recovery.epochs.epoch for seat in seats}
+    if len(fleet.counter.keepers) > 1 or len(epochs) > 1 or not all(seat.recovery.sure() for seat in seats):
+        return False
+    now, running = fleet.engine.now, set()
+    for seat in seats:
+        for name, entry in seat.recovery.ledger.entries.items():
+            sums[name] = sums.get(name, 0.0) + entry.own
+            if entry.own and entry.dies - now > 2 / 3 * entry.lives:  # of three windows' life
+                running.add(name)
+    found = seats[0].recovery.epochs
+    return all(abs(keeper.counts.get(found.name(name), [0.0])[0] - sums[name]) < 1e-3 for name in running)
+
+
+def play(job: dict) -> dict:
+    raw = loads(resources.files("brookhub.lab").joinpath("default.toml").read_text(), Experiment, "default").model_dump()
+    raw["sweep"], raw["duration_s"] = {}, AT + job["for_s"] + AFTER
+    raw["load"].update(scale=LOAD, repeat_share=0.1)
+    fleet_spec = raw["fleet"]
+    fleet_spec["limiters"] = job["limiters"]
+    fleet_spec["servers"].update(count=60, places=16)
+    fleet_spec["counter"].update(recovery=job["way"] == "on")
+    actions = {"none": [], "wipe": ["counter_wipe"], "lose": ["counter_lose"], "swap": ["counter_swap"], "split": ["counter_split"]}
+    raw["faults"] = [{"at_s": AT, "action": action, "share": 0.5, "for_s": job["for_s"]} for action in actions[job["kind"]]]
+    fleet = Fleet(Experiment.model_validate(raw), seed=job["seed"], keep_trail=False)
+    over, ceiling, asked = {}, {}, {}
+    for customer in fleet.customers:
+        plan = customer.plan
+        over[customer.id] = Debt(plan.rate, plan.burst)
+        if plan.ceiling_rate:
+            ceiling[customer.id] = Debt(plan.ceiling_rate, plan.ceiling_burst)
+        asked[customer.id] = customer.calls_per_s * (1 + raw["load"]["repeat_share"])
+
+        def proxied(now: float, units: float, customer=customer, before=customer.proxied) -> None:
+            before(now, units)
+            for debts in (over, ceiling):
+                if customer.id in debts:
+                    debts[customer.id].take(now, units)
+        customer.proxied = proxied
+    agreed: list[float] = []
+
+    def look() -> None:
+        if not agreed and agree(fleet):
+            agreed.append(fleet.engine.now - AT - job["for_s"])
+        if not agreed:
+            fleet.engine.after(LOOK, look)
+    if job["way"] == "on":
+        fleet.engine.at(AT + job["for_s"] + LOOK, look)
+    result = fleet.run()
+    beat, wait = fleet_spec["counter"]["beat_s"], fleet_spec["counter"]["wait_s"]
+    bounds = {one.id: bound(one.plan, job["kind"], asked[one.id], beat, wait) for one in fleet.customers}
+    plans = {one.id: one.plan for one in fleet.customers}
+    rows = [(debt.worst / plans[ident].burst, ident) for ident, debt in over.items()]
+    return job | {"over": max(rows)[0], "over_mean": sum(value for value, _ in rows) / len(rows),
+                  "bound": max(bounds[ident] / plans[ident].burst for ident in bounds),
+                  "of_bound": max((debt.worst / bounds[ident] for ident, debt in over.items() if bounds[ident]), default=0.0),
+                  "ceiling_over": max(debt.worst / plans[ident].ceiling_burst for ident, debt in ceiling.items()),
+                  "served": result.metrics()["served_share"], "broken": result.metrics()["broken"],
+                  "agreed_s": agreed[0] if agreed else None, "epochs": len({facts["epoch"] for _, _, event, facts in fleet.heard if "epoch" in facts}),
+                  "resent": sum(seat.recovery.resent for seat in fleet.seats if seat.recovery),
+                  "counter_calls": fleet.counter.calls}
+
+
+def measure(out: Path, seeds: list[int], processes: int | None = None, progress: Callable[[float], None] = lambda done: None) -> list[dict]:
+    return play_all(out / RESULTS, jobs(seeds), play, processes, progress)
+
+
+def groups(rows: list[dict]) -> dict[tuple, list[dict]]:
+    found: dict[tuple, list[dict]] = {}
+    for row in sorted(rows, key=lambda row: (KINDS.index(row["kind"]), row["for_s"], row["limiters"], row["way"])):
+        found.setdefault((row["kind"], row["for_s"], row["limiters"], row["way"]), []).append(row)
+    return found
+
+
+def table(rows: list[dict]) -> str:
+    """Markdown: the worst customer of the worst seed, means elsewhere; over in bursts."""
+    lines = ["| fault | for, s | limiters | recovery | over, worst customer (mean of all) | of the bound | ceiling over | served | counts agree after, s (worst) | epochs | calls to the counter |",
+             "| --- " * 11 + "|"]
+    for (kind, for_s, limiters, way), own in groups(rows).items():
+        def mean(key: str) -> float:
+            return sum(row[key] for row in own) / len(own)
+        agreed = [row["agreed_s"] for row in own]
+        when = "-" if way == "off" else "not" if None in agreed else f"{sum(agreed) / len(own):.1f} ({max(agreed):.1f})"
+        lines.append(f"| {kind} | {for_s:g} | {limiters} | {way} | {max(row['over'] for row in own):.2f} ({mean('over_mean'):.3f}) | "
+                     f"{max(row['of_bound'] for row in own):.2f} | {max(row['ceiling_over'] for row in own):.2f} | {mean('served'):.3f} | "
+                     f"{when} | {max(row['epochs'] for row in own)} | {mean('counter_calls'):.0f} |")
+    return "\n".join(lines)
+
+
+def plot(rows: list[dict], png: Path) -> Path:
+    """Worst overshoot against limiters by fault, with and without recovery; s until counts agree."""
+    import matplotlib
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+    figure, axes = pyplot.subplots(1, 3, figsize=(15, 4.5))
+    for number, (kind, for_s) in enumerate(sorted({key[:2] for key in groups(rows)}, key=str)):
+        label = f"{kind} {for_s:g} s" if for_s else kind
+        for way, style in (("off", "--o"), ("on", "-o")):
+            own = {key[2]: rows_ for key, rows_ in groups(rows).items() if key[:2] == (kind, for_s) and key[3] == way}
+            axes[0].plot(list(own), [max(row["over"] for row in them) for them in own.values()], style, color=f"C{number}",
+                         label=label if way == "on" else None)
+            if way == "on":
+                axes[1].plot(list(own), [max(row["of_bound"] for row in them) for them in own.values()], style, color=f"C{number}", label=label)
+                axes[2].plot(list(own), [max(row["agreed_s"] or float("nan") for row in them) for them in own.values()], style, color=f"C{number}")
+    for axis, title in zip(axes, ("over a quota, bursts, worst customer (dashed: no recovery)", "the same, as a share of the stated bound",
+                                  "s until counts agree again, worst")):
+        axis.set_xscale("log")
+        axis.set_xlabel("limiters")
+        axis.set_title(title, fontsize=9)
+        axis.grid(alpha=0.3)
+    axes[1].axhline(1.0, color="red", lw=0.8)
+    axes[0].legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(png, dpi=90)
+    pyplot.close(figure)
+    return png
--- a/brookhub/lab/startfiles.py
+++ b/brookhub/lab/startfiles.py
@@ -37,10 +37,11 @@
 
 
 def start_file(experiment: Experiment, index: int, seed: int, listen: str, discovery: str, counter: str,
-               membership: str | None = None, maintenance: str | None = None) -> dict:
+               membership: str | None = None, maintenance: str | None = None, recovery: str | None = None) -> dict:
     """The whole JSON start file of limiter `index`; `membership` names its file of peers,
-    `maintenance` its plan (which may come later)."""
+    `maintenance` its plan (which may come later), `recovery` its file on the counter's."""
     told = {"name": f"n{index}", "listen": listen, "discovery": discovery, "counter": counter, "seed": f"{seed:x}",
             "limits": {"memory_mb": 192, "sockets": 1024},
             "settings": settings(experiment, index, peer_messages=membership is not None)}
-    return told | ({"membership": membership} if membership else {}) | ({"maintenance": maintenance} if maintenance else {})
+    files = {"membership": membership, "maintenance": maintenance, "recovery": recovery}
+    return told | {key: path for key, path in files.items() if path}
--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -97,8 +97,8 @@
 
 class Account:  # what this gateway knows of a customer: the quota as told, its share, loans of its room
 
-    def __init__(self, customer, gateways, largest, now, launched, counted):
-        plan, self.counted, self.credit, self.used = customer.plan, counted, 0.0, inf
+    def __init__(self, customer, gateways, largest, now, launched, counted, granted):
+        plan, self.counted, self.credit, self.used, self.granted = customer.plan, counted, 0.0, inf, granted
         self.customer, self.plan, self.active, self.largest = customer, plan, now, largest
         self.store = Store(plan.rate, plan.burst, plan.burst, now)
         # A launch may be a restart: what an earlier life spent is unknown, so the own shares are empty then.
@@ -114,15 +114,16 @@
         plan, largest, part, self.gateways = self.plan, self.largest, 1.0 / gateways, gateways
         # Where an Nth is less than one API call, one may pass unasked if the counter can't be asked.
         self.most_credit = largest if plan.burst * part < largest else 0.0
-        self.credit, self.part = min(self.credit, self.most_credit), part if self.most_credit else min(1.0, UNHEARD * part)
+        self.part = part if self.most_credit or not self.granted else min(1.0, UNHEARD * part)
         # Where an Nth of a ceiling is thin it goes by the window's count, which numbers each unit for all gateways: the
         # nth of a window may go n / joint after its start. So no window holds more than comes in while it lasts, and a span
         # that begins late in one holds that at once: at most the burst. A half stays with own shares while they hold a call.
         own = 0.5 if plan.ceiling_burst * part / 2 >= largest else 0.0
-        most = min(plan.ceiling_rate, plan.ceiling_burst * plan.rate / plan.burst) if plan.rate else 0.0
+        most = self.granted * min(plan.ceiling_rate, plan.ceiling_burst * plan.rate / plan.burst) if plan.rate else 0.0
         self.joint = (1 - own) * most if self.counted and self.most_credit else 0.0  # units a second
         half = part * (own if self.joint else 1.0)
-        for store, rate, depth in ((self.share, plan.rate * part, max(plan.burst * part, largest)),
+        for store, rate, depth in ((self.store, plan.rate * (self.granted or part), plan.burst * (self.granted or 1)),
+                                   (self.share, plan.rate * part, max(plan.burst * part, largest)),
                                    (self.alone, plan.rate * self.part, max(plan.burst * self.part, largest)),
                                    (self.ceiling, plan.ceiling_rate * half, plan.ceiling_burst * half)):
             store.rate, store.depth, store.level = rate, depth, min(store.level, depth)
@@ -160,7 +161,7 @@
         self.port, self.dice, self.counter_wait, self.largest = port, dice, counter_wait, largest
         # All may start at one moment, and what they call for at once they all hear late: each has an Nth.
         self.pace, self.slowed, self.began = Store(PACE / gateways, AT_ONCE, 1.0, port.now), 0.0, port.now
-        self.wanted, self.unheard, self.said = Fading(), Fading(), Fading()  # asks; units
+        self.wanted, self.unheard, self.said, self.granted = Fading(), Fading(), Fading(), 1.0  # asks; units
 
     def take(self, rq):
         account, units, now = rq.account, rq.call.units, self.port.now
@@ -204,7 +205,7 @@
             wait = min(HOLD, rq.call.units * account.gateways / plan.rate / 2)
             account.hold = now + wait * (0.5 + self.dice.roll())
         if not fits:
-            self.spend(rq, -rq.counted, outcome is not Outcome.TIMEOUT)  # or it might be taken off unadded
+            self.spend(rq, -rq.counted, outcome is not Outcome.TIMEOUT and rq.window == account.window)  # else unadded, or elsewhere
         if fits and outcome is Outcome.OK and account.joint and rq.window == account.window:
             after, window = account.used / account.joint, plan.burst / plan.rate
             rq.turn = (rq.window - account.customer.id * GOLDEN % 1.0) * window + after if after <= window else inf
@@ -265,7 +266,7 @@
                 self.said.add(now, amount)
                 self.learn(account, total, total - (account.total if current else before) - amount, None if current else spilt)
                 account.total = total if current else account.total
-            elif outcome is not Outcome.TIMEOUT and current:  # which may have been added
+            elif outcome not in (Outcome.TIMEOUT, Outcome.NOTED) and current:  # else it may have been added, or will be
                 self.owe(account, amount)
             pace.depth = max(AT_ONCE, pace.rate * self.counter_wait)
             then(outcome)
@@ -626,18 +627,26 @@
     def holders(self, told):  # how many gateways hold a quota: of the whole fleet's, those not known to have left
         return self.sure if told == self.gateways else told
 
+    def redivide(self, credit=1.0):
+        for account in self.accounts:
+            for one in (account.store, account.share, account.alone, account.ceiling):
+                one.read(self.port.now)
+            account.granted = self.quota.granted
+            account.divide(self.holders(account.told))
+            account.credit = min(account.credit * credit, account.most_credit)
+
     def fleet_told(self, live, rank, sure):
         """Membership's word: how many gateways are there, this one's place among them, how many have not surely left.
         What is held jointly is divided by `sure`: in a split both sides are still there. The rest goes by `live`."""
-        self.sure = sure
-        for account in self.accounts:
-            if self.holders(account.told) != account.gateways:
-                for one in (account.share, account.alone, account.ceiling):
-                    one.read(self.port.now)
-                account.divide(self.holders(account.told))
-        self.upstreams.gateways, self.upstreams.sure = live, sure
+        self.sure, self.upstreams.sure, self.upstreams.gateways = sure, sure, live
+        self.redivide()
         self.upstreams.draw()
 
+    def counter_told(self, part):
+        """The part of each quota that is granted by the count seen from here; 0: none tells, and no credit is left."""
+        self.quota.granted = part
+        self.redivide(part > 0)
+
     def choices_told(self, choices):
         """What the fleet knows together of its servers (choices.Signals); each decides alone without it."""
         self.upstreams.choices = choices
@@ -647,7 +656,7 @@
         now, customer = self.port.now, call.customer
         if customer.account not in self.accounts:
             customer.account = Account(customer, self.holders(call.gateways), self.quota.largest, now, self.launched,
-                                       self.quota.counter_wait > 0)
+                                       self.quota.counter_wait > 0, self.quota.granted)
             customer.account.told = call.gateways
         self.touch(customer.account)
         self.intake.take(Rq(call, customer.account, now))
--- a/brookhub/program/run.py
+++ b/brookhub/program/run.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from pathlib import Path
 from random import Random
 from time import monotonic, sleep, time
 
@@ -86,6 +87,7 @@
             self.listener = Listener(start.listen)
         except OSError as broken:
             raise StartError(f"can't listen at {start.listen[0]}:{start.listen[1]}: {broken.strerror}") from None
+        self.recovering = self.recover(start)
         self.peers = self.join(start)
         self.keeper = self.keep(start) if self.peers and start.maintenance else None
         if start.known:
@@ -106,6 +108,22 @@
         except OSError as broken:
             raise StartError(f"membership: can't listen at {spec.listen}: {broken.strerror}") from None
 
+    def recover(self, start: Start):
+        """The driver of recovery, where the start file names its file and there is a counter; else nothing of it is imported."""
+        if start.recovery is None:
+            return None
+        spec = startfile.recovery(start)
+        if not start.counter:
+            self.log.warning("recovery refused", why="the settings have no counter")
+            return None
+        from ..recovery import Settings
+        from ..routing.recovery import Recovering
+        made = Recovering(self.port, self.log, start.terms["slot"], start.terms["gateways"],
+                          Settings(spec.beat_s, spec.missing_most, bool(start.terms["trued_up"])),
+                          Path(spec.ledger) if spec.ledger else None, Random(start.seed ^ 1).random)
+        self.port.recovery = made.core
+        return made
+
     def keep(self, start: Start):
         """The driver of maintenance, where the start file names a plan and there are peers to settle it with."""
         given = startfile.plan(start)
@@ -140,6 +158,8 @@
         if port.counter:
             port.run(monotonic(), port.counter.move, self.start.counter)
             port.run(monotonic(), port.counter.beat)
+        if self.recovering:
+            port.run(monotonic(), self.recovering.start)
         port.run(monotonic(), self.discovery.move, self.start.discovery)
         if self.peers:
             self.peers.start()
--- a/brookhub/program/startfile.py
+++ b/brookhub/program/startfile.py
@@ -47,6 +47,10 @@
         self.maintenance = told.get("maintenance")
         if self.maintenance is not None and not (isinstance(self.maintenance, str) and self.maintenance):
             raise StartError("maintenance is not the path of a file")
+        # Off where no file is named: it calls the counter each beat, and a ledger needs a disk that lasts.
+        self.recovery = told.get("recovery")
+        if self.recovery is not None and not (isinstance(self.recovery, str) and self.recovery):
+            raise StartError("recovery is not the path of a file")
         self.known = None
         if told.get("known") is not None:
             try:
@@ -87,6 +91,15 @@
         raise StartError(f"membership: {broken}") from None
 
 
+def recovery(start: Start):
+    """The file that a start file names for the counter's recovery (config.models.RecoveryFile); raises StartError in one line."""
+    from ..config import ConfigError, RecoveryFile, load
+    try:
+        return load(start.recovery, RecoveryFile)
+    except ConfigError as broken:
+        raise StartError(f"recovery: {broken}") from None
+
+
 def plan(start: Start):
     """The plan of work that a start file names (maintenance.Plan), None where there is none yet; raises StartError in one line."""
     from ..config import ConfigError, PlanFile, load
--- a/brookhub/routing/peers.py
+++ b/brookhub/routing/peers.py
@@ -115,6 +115,8 @@
     def told(self, live: int, rank: int, sure: int) -> None:
         self.numbers = (live, rank, sure)
         self.port.gateway.fleet_told(live, rank, sure)
+        if self.port.recovery:
+            self.port.recovery.fleet(sure)
         self.soon()
 
     def changed(self, member: str, state: int) -> None:
--- a/brookhub/routing/port.py
+++ b/brookhub/routing/port.py
@@ -27,6 +27,7 @@
         self.bell, self.looks_at = Lock(), 0.0  # held while nobody rings; when the timers look next by themselves
         self.todo, self.soon = [], deque()
         self.watch: Callable[[ApiCall, float, bool], None] | None = None  # told of each final answer: s it took, proxied or not
+        self.recovery = None  # stands before the counter where the operator's file has it
         self.gateway = self.servers = self.counter = self.discovery = None  # set where the program is wired
 
     def run(self, at: float, event: Callable[..., None], *args) -> None:
@@ -106,7 +107,7 @@
             self.watch(call, self.now - (call.expires - call.route.client_timeout), proxied)
 
     def count(self, name: int, amount: float, lives: float, told: Told) -> None:
-        self.counter.count(name, amount, lives, told)
+        (self.recovery or self.counter).count(name, amount, lives, told)
 
     def follow_servers(self, on: bool) -> None:
         """Discovery is watched all along and asked again by itself."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -316,3 +316,68 @@
         for when in sent:
             level, at = min(48.0, level + 24.0 * (when - at)) - 1.0, when
             assert level >= 0.0
+
+
+# the recovery's word
+
+
+def test_in_a_split_of_the_counter_each_side_grants_its_part_and_all_of_it_again_after():
+    world = told_world(gateways=10)
+    customer = world.customer()
+    world.call(customer, gateways=10)
+    account = customer.account
+    whole = account.joint, account.store.rate, account.store.depth
+    world.gateway.counter_told(0.3)
+    assert (account.store.rate, account.store.depth) == (12.0, 24.0) and account.store.level <= 24.0
+    later = world.customer(2)
+    world.call(later, gateways=10)  # one that comes meanwhile has its part as well
+    assert later.account.store.rate == 12.0 and account.share.rate == 4.0  # own shares are an Nth in any case
+    world.gateway.counter_told(1.0)
+    assert (account.joint, account.store.rate, account.store.depth) == whole
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_while_the_count_is_unsure_a_fleet_lets_in_its_nths_and_no_credit(seed):
+    """Ten gateways, a thin customer (burst 8: less than a call for each) and a wide one; no word for 20 s."""
+    for plan in (Plan("thin", 4.0, 8.0), Plan("wide", 40.0, 80.0)):
+        worlds = [World(seed=seed * 20 + n, gateways=10, servers=12, plans=[plan], slot=n) for n in range(10)]
+        spent = 0
+        for world in worlds:
+            world.run(6.0)
+            customer = world.customer()
+            world.call(customer, gateways=10)
+            world.gateway.counter_told(0.0)
+            world.count = lambda name, amount, lives, told, world=world: world.later(0.0, lambda: told(Outcome.NOTED, 0.0, 0.0))
+            before = len(world.sent)
+            for _ in range(100):
+                world.call(customer, gateways=10)
+                world.run(0.2)
+                for one in list(world.out):
+                    world.end(one, Outcome.OK)
+            spent += len(world.sent) - before
+        assert spent <= plan.burst + 20.0 * plan.rate + 2 * 10, plan.name  # two units each: saved up, and whole or not
+
+
+def test_an_ask_that_is_answered_in_the_next_window_gives_nothing_back_there():
+    # Guards: found by the ledger of a limiter's own units, whose part of a count fell below nothing (a total of 1 where it had
+    # added 2): an ask refused just after the window's turn was taken off the next window's count, which made room for a unit more.
+    world = World(gateways=2, plans=[Plan("hard", 4.0, 8.0)])
+    customer, asked = world.customer(), []
+    world.call(customer)
+    account = customer.account
+    world.run(0.3)
+    world.count = lambda name, amount, lives, told: asked.append((name, amount, told))
+    world.gateway.quota.pace.level = 50.0
+    account.share.level, account.told_at = 0.0, world.now
+    world.call(customer)
+    name, amount, told = asked[-1]
+    assert amount > 0
+    window = 2.0
+    world.run(window)  # its turn comes while the answer is out
+    world.call(customer)
+    assert account.window != name & 0x7FFFFFFF
+    del asked[:]
+    account.store.level = -5.0
+    told(Outcome.OK, 500.0, 0.04)
+    world.run(1.0)
+    assert not [amount for _, amount, _ in asked if amount < 0]
