--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -112,7 +112,7 @@
     # there: a false change for the whole fleet.
     world = World(60, 2)
     settled(world)
-    world.run(ERA - world.now % ERA + 0.55 * ERA)
+    world.run(ERA - world.now % ERA + 0.45 * ERA)
     for one in world.seats:
         one.epochs.carries = lambda clock: True
         one.carry(world.now)
