Recovery leaves out what is given back beyond a limiter's part; the decisions' give-backs stay as they were

What can't be measured is not changed: asks refused after the window's turn are given back as before (stores carry over, both windows together are right), and recovery, which holds totals against parts that are never below 0, leaves out what goes below. A test: no false alarm, parts stay at 0 or above.

--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -205,7 +205,7 @@
             wait = min(HOLD, rq.call.units * account.gateways / plan.rate / 2)
             account.hold = now + wait * (0.5 + self.dice.roll())
         if not fits:
-            self.spend(rq, -rq.counted, outcome is not Outcome.TIMEOUT and rq.window == account.window)  # else unadded, or elsewhere
+            self.spend(rq, -rq.counted, outcome is not Outcome.TIMEOUT)  # or it might be taken off unadded
         if fits and outcome is Outcome.OK and account.joint and rq.window == account.window:
             after, window = account.used / account.joint, plan.burst / plan.rate
             rq.turn = (rq.window - account.customer.id * GOLDEN % 1.0) * window + after if after <= window else inf
--- a/brookhub/program/run.py
+++ b/brookhub/program/run.py
@@ -119,7 +119,7 @@
         from ..recovery import Settings
         from ..routing.recovery import Recovering
         made = Recovering(self.port, self.log, start.terms["slot"], start.terms["gateways"],
-                          Settings(spec.beat_s, spec.missing_most, bool(start.terms["trued_up"])),
+                          Settings(spec.beat_s, spec.missing_most),
                           Path(spec.ledger) if spec.ledger else None, Random(start.seed ^ 1).random)
         self.port.recovery = made.core
         return made
--- a/brookhub/recovery/core.py
+++ b/brookhub/recovery/core.py
@@ -39,12 +39,10 @@
 @dataclass(frozen=True)
 class Settings:
     """`beat` s between looks at the register; `missing_most`: share of the limiters that may be missing from the roll before this side
-    takes it for a split: fewer are taken for crashed. `parts_fall`: a limiter's part of a name may fall below 0 (units trued up
-    in a later window), so that a small total proves nothing."""
+    takes it for a split: fewer are taken for crashed."""
 
     beat: float = 1.0
     missing_most: float = 0.1
-    parts_fall: bool = False
 
 
 class Recovery:
@@ -81,11 +79,13 @@
     # the decisions' counts
 
     def count(self, name: int, amount: float, lives: float, told: Told) -> None:
-        """Port.count: passes through while the keeper is sure; else it is noted and there is no total."""
+        """Port.count: passes through while the keeper is sure; else it is noted and there is no total. What the decisions give back
+        beyond this limiter's own part of the name (an ask of the window before, refused in this one) is left out: a part is never
+        below 0, which is what a total is held against."""
         if not self.sure():
             return self.note(name, amount, lives, told)
         entry = self.ledger.entry(name, lives, self.port.now())
-        epoch, owed = self.epochs.epoch, entry.owed()
+        epoch, owed, amount = self.epochs.epoch, entry.owed(), max(amount, -entry.own)
         entry.own += amount
         entry.held += amount + owed
         held = entry.held
@@ -102,7 +102,7 @@
                 outcome = Outcome.TIMEOUT  # it tells of a keeper that is no more
             elif outcome is Outcome.TIMEOUT:
                 entry.doubt += max(0.0, amount + owed)
-            elif not self.settings.parts_fall and self.ledger.lost(entry, held, total):
+            elif self.ledger.lost(entry, held, total):
                 self.port.log("count lost", name=str(name), total=total, own=round(held - entry.doubt, 3))
                 self.suspect, outcome = True, Outcome.TIMEOUT
                 self.beat()
@@ -112,6 +112,7 @@
     def note(self, name: int, amount: float, lives: float, told: Told) -> None:
         """No word for now: what the decisions count is kept, and added with the rest."""
         entry = self.ledger.entry(name, lives, self.port.now())
+        amount = max(amount, -entry.own)
         entry.own += amount
         entry.unseen += amount
         self.unit(name, amount, lives)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -256,6 +256,21 @@
     assert [world.total(name) for name in range(5)] == [world.own(name) for name in range(5)]
 
 
+def test_what_is_given_back_in_the_next_window_leaves_no_part_below_nothing_and_raises_no_alarm():
+    # Guards: the decisions give an ask back that was refused after the window's turn; a limiter's part of the new name fell below
+    # nothing, and another found a total (1) below its own part (2): a false alarm for the whole fleet.
+    world = World(3, 4)
+    settled(world)
+    world.count(0, 9, -3.0)
+    world.count(1, 9, 2.0)
+    world.count(0, 9, 1.0)
+    world.count(0, 9, -2.0)
+    heard = world.count(1, 9, 0.0)
+    world.run(2 * BEAT)
+    assert heard == [(Outcome.OK, 2.0)] and world.total(9) == world.own(9) == 2.0
+    assert not world.said("count lost") and not world.said("counter changed")
+
+
 def test_units_that_the_counter_turned_away_are_not_the_ledger_s():
     world = World(2, 1)
     settled(world)
