--- a/brookhub/lab/load.py
+++ b/brookhub/lab/load.py
@@ -44,6 +44,7 @@
     ended: float = 0.0
     again: float = 0.0  # when its client asked once more, its connection having ended
     before: int = -1  # the limiter that it had asked before that
+    token: int = 0  # in a tokened route: the id of the call that its client asked first, where this one asks again
 
 
 class Connection:
@@ -119,12 +120,13 @@
                 one.fresh()
                 one.close()
 
-    def submit(self, customer: int, route: int, repeated: bool) -> None:
+    def submit(self, customer: int, route: int, repeated: bool, token: int = 0) -> None:
         with self.lock:
             self.ident += 1
             now = monotonic()
             limiter = self.choose(now)
             one = Asked(self.ident, customer, route, limiter, now, now + self.routes[route].client_timeout_s, repeated)
+            one.token = token or one.id
             leaves = self.rng.random() < self.experiment.load.give_up_share
             patience = self.routes[route].client_timeout_s * (0.2 + 0.7 * self.rng.random()) if leaves else 0.0
             self.asked.append(one)
@@ -159,12 +161,12 @@
 
     def again(self, one: Asked) -> None:
         if not self.over.is_set():
-            self.submit(one.customer, one.route, True)
+            self.submit(one.customer, one.route, True, one.token)
 
     def words(self, one: Asked) -> bytes:
         spec, plan = self.routes[one.route], self.experiment.fleet.plans[self.customers[one.customer][0]]
         reads = spec.repeat == "idempotent"
-        key = f",k={one.id:016x}" if spec.repeat == "tokened" else ""
+        key = f",k={one.token:016x}" if spec.repeat == "tokened" else ""
         fields = (f"c={spec.name},t={plan.name},d={max(1, round((one.expires - monotonic()) * 1000))}{key}"
                   f"{',r=1' if one.repeated else ''},units=1,spread={len(self.limiters)},first={one.limiter}")
         return resp.command(b"CALL.GET" if reads else b"CALL.POST", b"%016x" % one.customer, b"%016x" % one.id,
--- a/tests/test_recovery_processes.py
+++ b/tests/test_recovery_processes.py
@@ -115,8 +115,16 @@
         time.sleep(1.5)
     lab, outcome, over = play(experiment, script)
     within(over, experiment, "split")
-    tokened = [one for one in lab.load.asked if one.route == 2]
-    assert len(tokened) > 50 and not outcome.result.broken  # rule 2 is among them
+    asked: dict[int, list] = {}  # by token: refused calls come again with it, through any limiter
+    for one in lab.load.asked:
+        if one.route == 2:
+            asked.setdefault(one.token, []).append(one)
+    assert sum(len({one.limiter < 2 for one in them}) == 2 for them in asked.values()) > 5  # on both sides of the split
+    ran: dict[bytes, set] = {}
+    for one in lab.seen:
+        if one.key and one.ran:
+            ran.setdefault(one.key, set()).add(one.call)
+    assert ran and all(len(calls) == 1 for calls in ran.values())  # a refused call had no effect, whichever side refused it
 
 
 def test_a_ledger_on_disk_outlives_a_kill_and_a_wipe_meanwhile(play, tmp_path):
