Emulator: a refused tokened call comes again with its token, on either side of a split at 200 limiters

Clients' repeats in the emulator now carry the token of the call that was asked first; in the tests of 200 limiters no token reaches a server by two calls, in the split some are asked on both sides.

--- a/brookhub/emulator/fleet.py
+++ b/brookhub/emulator/fleet.py
@@ -213,7 +213,8 @@
         route = self.rng.choices(self.routes, self.route_weights)[0]
         self.call(customer, route, repeated=False)
 
-    def call(self, customer: Customer, route: Route, repeated: bool) -> None:
+    def call(self, customer: Customer, route: Route, repeated: bool, token: int = 0) -> None:
+        """One API call at a limiter drawn by chance; `token`: of the call that its client asked first, where it asks again."""
         now, load = self.engine.now, self.experiment.load
         living = [seat for seat in self.seats if seat.alive and not seat.closing]
         if not living:
@@ -226,7 +227,7 @@
         # The customer's set is the whole fleet as its settings say, whoever lives: a front knows no better.
         call = ApiCall(self.ident, payer, route, now + route.client_timeout, 1.0, len(self.seats), seat.index, repeated,
                        route.repeat is not Repeat.IDEMPOTENT)
-        call.who = customer
+        call.who, call.token = customer, token or self.ident
         self.result.calls += 1
         self.started[call.id] = now
         self.referee.now = now
@@ -269,7 +270,7 @@
         elif how == "rate-limited":
             result.rate_limited += 1
             if self.rng.random() < self.experiment.load.repeat_share:
-                self.engine.after(retry_after or 1.0, lambda: self.call(call.who, call.route, repeated=True))
+                self.engine.after(retry_after or 1.0, lambda: self.call(call.who, call.route, True, call.token))
         else:
             result.errored += 1
 
--- a/brookhub/lab/recovery.py
+++ b/brookhub/lab/recovery.py
@@ -73,7 +73,7 @@
 
 
 def play(job: dict) -> dict:
-    """One row. `few`: the plans' customers are divided by it (tests)."""
+    """One row. `few`: the plans' customers are divided by it; `tokened`: the second route is (tests)."""
     raw = loads(resources.files("brookhub.lab").joinpath("default.toml").read_text(), Experiment, "default").model_dump()
     raw["sweep"], raw["duration_s"] = {}, AT + job["for_s"] + AFTER
     raw["load"].update(scale=LOAD, repeat_share=0.1)
@@ -81,12 +81,28 @@
     fleet_spec["limiters"] = job["limiters"]
     for plan in fleet_spec["plans"]:
         plan["customers"] = max(1, plan["customers"] // job.get("few", 1))
+    fleet_spec["routes"][1].update({"repeat": "tokened", "group": "zone", "window_s": 30.0} if job.get("tokened") else {})
     fleet_spec["servers"].update(count=60, places=16)
     fleet_spec["counter"].update(recovery=job["way"] == "on")
     actions = {"none": [], "wipe": ["counter_wipe"], "lose": ["counter_lose"], "swap": ["counter_swap"], "split": ["counter_split"]}
     raw["faults"] = [{"at_s": AT, "action": action, "share": 0.5, "for_s": job["for_s"]} for action in actions[job["kind"]]]
     fleet = Fleet(Experiment.model_validate(raw), seed=job["seed"], keep_trail=False)
     over, ceiling, asked = {}, {}, {}
+    ran: dict[int, set[int]] = {}  # token -> calls with it that reached a server
+    sides: dict[int, set[int]] = {}  # token -> sides of the counter that it was asked on
+    take, arrive = fleet.servers.take, fleet.referee.note
+
+    def taken(one, seat) -> None:
+        ran.setdefault(one.call.token, set()).add(one.call.id)
+        take(one, seat)
+
+    def noted(what, *facts) -> None:
+        arrive(what, *facts)
+        if what == "arrive":
+            token = fleet.seats[facts[0]].calls[facts[1]].token
+            sides.setdefault(token, set()).add(facts[0] % len(fleet.counter.keepers))
+    if job.get("tokened"):
+        fleet.servers.take, fleet.referee.note = taken, noted
     for customer in fleet.customers:
         plan = customer.plan
         over[customer.id] = Debt(plan.rate, plan.burst)
@@ -120,6 +136,7 @@
                   "ceiling_over": max(debt.worst / plans[ident].ceiling_burst for ident, debt in ceiling.items()),
                   "served": result.metrics()["served_share"], "broken": result.metrics()["broken"],
                   "agreed_s": agreed[0] if agreed else None, "epochs": len({facts["epoch"] for _, _, event, facts in fleet.heard if "epoch" in facts}),
+                  "twice": sum(len(calls) > 1 for calls in ran.values()), "both_sides": sum(len(them) > 1 for them in sides.values()),
                   "resent": sum(seat.recovery.resent for seat in fleet.seats if seat.recovery),
                   "counter_calls": fleet.counter.calls}
 
--- a/brookhub/lab/together.py
+++ b/brookhub/lab/together.py
@@ -123,9 +123,9 @@
             fleet.engine.at(SHRINKS + number * step, lambda index=seat.index: end(fleet, index))
         call = fleet.call
 
-        def counted(customer, route, repeated: bool) -> None:
+        def counted(customer, route, repeated: bool, token: int = 0) -> None:
             asked[customer.id] = asked.get(customer.id, 0) + (not repeated)
-            call(customer, route, repeated)
+            call(customer, route, repeated, token)
         fleet.call = counted
 
     def end(fleet: Fleet, index: int) -> None:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -316,10 +316,11 @@
 @pytest.mark.parametrize("kind, for_s", [("wipe", 0.0), ("lose", 0.0), ("swap", 4.0), ("split", 4.0)])
 def test_two_hundred_limiters_keep_within_the_bound_and_agree_again(kind, for_s):
     """Six customers that ask for half as much again as they may; counts agree once all have looked, and added."""
-    row = lab.play({"kind": kind, "way": "on", "limiters": 200, "for_s": for_s, "seed": 5, "few": 10})
+    row = lab.play({"kind": kind, "way": "on", "limiters": 200, "for_s": for_s, "seed": 5, "few": 10, "tokened": True})
     assert not row["broken"] and row["of_bound"] <= 1.0 and row["ceiling_over"] == 0.0
     assert row["agreed_s"] is not None and row["agreed_s"] <= 6.0
     assert 2 <= row["epochs"] <= 5 and row["served"] > 0.5
+    assert row["twice"] == 0 and (kind != "split" or row["both_sides"] > 3)  # refused calls come again with their token, anywhere
 
 
 def test_a_bound_is_a_formula_of_the_settings():
