A limiter listens once it can take calls: what waited before its start was answered late

Cause: Program.__init__ listened before the operator's files of peers and recovery were read and what they need was imported. Who connects then waits in the system, and a call's time begins when its last byte is read.

Change: listening is the last thing before the program runs. On the operators' platform, where no file is named, nothing else stands between the two.

--- a/brookhub/program/run.py
+++ b/brookhub/program/run.py
@@ -83,15 +83,17 @@
             port.gateway = Gateway(port, start.seed, **start.terms)
         except ValueError as refused:
             raise StartError(f"settings: {refused}") from None
-        try:
-            self.listener = Listener(start.listen)
-        except OSError as broken:
-            raise StartError(f"can't listen at {start.listen[0]}:{start.listen[1]}: {broken.strerror}") from None
         self.recovering = self.recover(start)
         self.peers = self.join(start)
         self.keeper = self.keep(start) if self.peers and start.maintenance else None
         if start.known:
             port.run(monotonic(), self.discovery.heard, start.known)
+        # Last: who connects before calls are taken waits in the system unseen, and its calls' time begins only once they are read.
+        # Listening before the operator's files were read, calls were answered up to 0.5 s after their client timeout.
+        try:
+            self.listener = Listener(start.listen)
+        except OSError as broken:
+            raise StartError(f"can't listen at {start.listen[0]}:{start.listen[1]}: {broken.strerror}") from None
 
     def join(self, start: Start):
         """The membership driver, where the start file names peers and the settings let limiters talk; else nothing:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -3,6 +3,8 @@
 Every run also passes the judge: rules 1 to 4 hold for every call whatever happens between the limiters."""
 
 import contextlib
+import errno
+import json
 import os
 import random
 import signal
@@ -17,7 +19,8 @@
 
 from brookhub.lab.processes import ProcessLab
 from brookhub.membership.messages import VERSION, Message, encode
-from helpers import Program, play_script, until
+from brookhub.program import run, startfile
+from helpers import SETTINGS, Program, play_script, until
 from test_processes import experiment
 
 
@@ -212,6 +215,28 @@
         program.close()
 
 
+@pytest.mark.parametrize("reader", ["peers", "recovery"])
+def test_nobody_is_let_in_before_the_operator_s_files_are_read(tmp_path, monkeypatch, reader):
+    """What connects earlier waits in the system, its calls' time not begun: on a busy machine calls were answered up to 0.5 s after their
+    client timeout by limiters that had just been restarted."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    met, config = [], tmp_path / "config.json"
+
+    def read(start):
+        with socket.socket() as client:
+            met.append(client.connect_ex(start.listen))
+        raise startfile.StartError("enough seen")
+    monkeypatch.setattr(startfile, reader, read)
+    config.write_text(json.dumps({"listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:9", "counter": "127.0.0.1:9",
+                                  "membership" if reader == "peers" else "recovery": "some.toml",
+                                  "settings": {**SETTINGS, "limits": {"max_attempts": 3, "peer_messages": True}}}))
+    with pytest.raises(startfile.StartError, match="enough seen"):
+        run.Program(startfile.read({"NODE_CONFIG": str(config)}))
+    assert met == [errno.ECONNREFUSED]
+
+
 @pytest.mark.parametrize("text, said", [
     (None, "No such file"), ("fleet = 1", "fleet"), (PEERS % 7000 + "more = 1\n", "unknown key"),
     (PEERS.replace("127.0.0.1:9", "localhost:9") % 7000, "an IPv4 address and a port"),
