--- a/brookhub/config/models.py
+++ b/brookhub/config/models.py
@@ -28,7 +28,7 @@
 
 
 class PlanSpec(Strict):
-    """A plan, its customers and their load: quota `rate` units/s with `burst`; ceiling 0: none (soft plan)."""
+    """A plan, its customers and their load: quota `rate` units/s with `burst`; ceiling 0: none."""
 
     name: str
     rate: float = Field(ge=0)
@@ -37,6 +37,9 @@
     ceiling_burst: float = Field(0.0, ge=0)
     ceiling_slack: float = Field(0.0, ge=0)
     open_cap: int = Field(0, ge=0)
+    value: float = Field(1.0, ge=0, description="billed value of a call inside the quota")
+    beyond_value: float = Field(0.0, ge=0, description="the same beyond it; above beyond_cost: a soft plan, which borrows idle room")
+    beyond_cost: float = Field(0.0, ge=0)
     customers: int = Field(1, ge=1)
     calls_per_s: float = Field(gt=0, description="offered load of each customer of the plan")
 
--- a/brookhub/emulator/fleet.py
+++ b/brookhub/emulator/fleet.py
@@ -114,7 +114,7 @@
                              one.window_s) for one in fleet.routes]
         self.route_weights = [one.share for one in fleet.routes]
         self.plans = [Plan(one.name, one.rate, one.burst, one.open_cap, one.ceiling_rate, one.ceiling_burst,
-                           one.ceiling_slack) for one in fleet.plans]
+                           one.ceiling_slack, one.value, one.beyond_value, one.beyond_cost) for one in fleet.plans]
         horizon = max(route.target for route in self.routes)
         kinds = [(plan, one.calls_per_s * spec.load.scale) for plan, one in zip(self.plans, fleet.plans)
                  for _ in range(one.customers)]
