Subsets where limiters may talk: each uses the part of each zone that the fleet's matching gives it

Need: the matching of subsets was measured and wired into nothing. Change: `subsets = true` in the file of peers (off by default) has a limiter take its servers by the matching of those that membership counts as there, by numbers that stay with names (`choices/parts.py`); `choices.Shared` is all that the decisions ask of the fleet. Nothing is sent for it.

A new limiter that knew nobody yet used all servers for a second: who is listed counts as there.

Tests: evenness and churn after every step of random joins, leaves and replacements, the same view the same parts, views that differ, sides of a split; fourteen processes, of which each sends to its part alone, also after a kill and across a split.

--- a/brookhub/choices/__init__.py
+++ b/brookhub/choices/__init__.py
@@ -5,8 +5,9 @@
 """
 
 from .carriers import TOPIC, ByCounter, ByPeers, Unusable, unpack
+from .parts import Parts, Shared
 from .signals import Signals
 from .subsets import Subsets, size
 from .turns import Turns
 
-__all__ = ["TOPIC", "ByCounter", "ByPeers", "Signals", "Subsets", "Turns", "Unusable", "size", "unpack"]
+__all__ = ["TOPIC", "ByCounter", "ByPeers", "Parts", "Shared", "Signals", "Subsets", "Turns", "Unusable", "size", "unpack"]
--- a/brookhub/config/models.py
+++ b/brookhub/config/models.py
@@ -77,6 +77,7 @@
     on: bool = False
     period_s: float = Field(0.25, gt=0, le=10, description="between two probes of a member")
     signals: bool = Field(False, description="limiters tell each other of sick servers by it (docs/choices.md)")
+    subsets: bool = Field(False, description="each uses a part of the servers that the fleet chose by matching (docs/choices.md)")
     hard_by: Literal["sure", "live"] = Field("sure", description="live: a baseline in the emulator, joint parts by who is seen")
 
 
@@ -193,6 +194,7 @@
     listen: Annotated[str, AfterValidator(endpoint)]
     period_s: float = Field(0.25, ge=0.05, le=10, description="between two probes; the same at all")
     signals: bool = Field(False, description="tell each other of sick servers (docs/operators/choices.md)")
+    subsets: bool = Field(False, description="use the servers that the fleet chose for this one; the same at all (docs/operators/choices.md)")
     peers: list[PeerSpec] = Field(min_length=1, max_length=1024)
 
     @model_validator(mode="after")
--- a/brookhub/emulator/fleet.py
+++ b/brookhub/emulator/fleet.py
@@ -14,7 +14,7 @@
 from hdrh.histogram import HdrHistogram
 
 from .. import policy
-from ..choices import TOPIC, ByCounter, ByPeers, Signals, Turns, unpack
+from ..choices import TOPIC, ByCounter, ByPeers, Parts, Shared, Signals, Turns, unpack
 from ..config.models import Experiment, FaultSpec
 from ..interface import ApiCall, Group, Plan, Repeat, Route, State
 from ..recovery import Ledger
@@ -167,7 +167,7 @@
             carrier = ByCounter(seat, self.seed)
             seat.signals = Signals(carrier, self.turns(seat))
             carrier.serve(seat.signals)
-            seat.gateway.choices_told(seat.signals)
+            seat.gateway.choices_told(Shared(seat.signals))
         return seat
 
     def join(self, seat: Seat) -> None:
@@ -175,6 +175,7 @@
         spec, count = self.experiment.fleet.membership, self.experiment.fleet.limiters
         seat.peer = peer = PeerSeat(self.net, f"n{seat.index}", told=lambda live, rank, sure: seat.gateway.fleet_told(
             live, rank, sure if spec.hard_by == "sure" else live) or seat.recovery and seat.recovery.fleet(sure))
+        signals = parts = None
         if spec.signals:
             turns = self.turns(seat)
             peer.on_changed = lambda member, state: turns.told(peer.core.present)
@@ -187,7 +188,10 @@
         if spec.signals:
             turns.told(peer.core.present)
             signals = seat.signals = Signals(ByPeers(peer, peer.core), turns)
-            seat.gateway.choices_told(signals)
+        if spec.subsets:
+            parts = Parts(self.seed, peer.name, peer.core.names, peer.core.counted)
+        if signals or parts:
+            seat.gateway.choices_told(Shared(signals, parts))
         peer.core.start()
 
     def turns(self, seat: Seat) -> Turns:
--- a/brookhub/lab/processes.py
+++ b/brookhub/lab/processes.py
@@ -223,7 +223,8 @@
         """The operator's membership file of a limiter: its own address, and each peer's as this one reaches it."""
         spec = self.experiment.fleet.membership
         lines = ['fleet = "lab"', f'name = "n{one.index}"', 'listen = "%s:%d"' % one.udp,
-                 f"period_s = {spec.period_s}", f"signals = {str(spec.signals).lower()}"]
+                 f"period_s = {spec.period_s}", f"signals = {str(spec.signals).lower()}",
+                 f"subsets = {str(spec.subsets).lower()}"]
         for other in self.limiters:
             if other is not one:
                 lines += ["[[peers]]", f'name = "n{other.index}"',
--- a/brookhub/lab/together.py
+++ b/brookhub/lab/together.py
@@ -16,9 +16,12 @@
 
 RESULTS = "together.jsonl"
 WAYS = ("none", "counter", "peers")  # how words travel
+PART_WAYS = ("stretch", "matching")  # how a limiter's part of the servers is chosen
 BAD_AT, BAD_FOR, RUN = 3.0, 20.0, 24.0  # s: when a server turns bad, for how long, the run
 FEW, MANY, GROWS, SHRINKS = 40, 200, 5.0, 15.0  # limiters before and after, s when they come and go
 TURN = 5.0  # s over which they do
+PARTS = ((40, 60, 0.25), (200, 60, 0.5), (200, 100, 0.5))  # limiters, servers, load, at which each needs a part of them
+CHANGE_AT, CHANGED_AT = (8.0, 18.0), (16.0, 26.0)  # s: when a server is replaced and a limiter killed, and when parts are compared
 
 
 def base(limiters: int, way: str, **servers) -> dict:
@@ -46,11 +49,14 @@
             made += [{"what": "cold", "kind": kind, "way": way, "limiters": limiters, "seed": seed}
                      for limiters in (8, 40, 200) for kind in ("replace", "split")]
             made.append({"what": "grow", "way": way, "limiters": MANY, "seed": seed})
+        made += [{"what": "parts", "way": way, "limiters": limiters, "servers": servers, "scale": scale, "seed": seed}
+                 for way in PART_WAYS for limiters, servers, scale in PARTS]
     return sorted(keyed(made), key=lambda job: job["what"] not in ("cold", "grow"))  # the longest first
 
 
 def play(job: dict) -> dict:
-    return job | {"bad": bad, "errors": errors, "link": link, "cold": cold, "grow": grow}[job["what"]](job)
+    return job | {"bad": bad, "errors": errors, "link": link, "cold": cold, "grow": grow,
+                  "parts": parts}[job["what"]](job)
 
 
 def run(raw: dict, seed: int, before: Callable[[Fleet], None] = lambda fleet: None) -> tuple[Fleet, dict]:
@@ -139,6 +145,49 @@
         [customer.units / asked[customer.id] for customer in fleet.customers if asked.get(customer.id)])}
 
 
+def parts(job: dict) -> dict:
+    """Who uses which servers, read from the limiters' parts; one server replaced, one limiter killed meanwhile. `held`: limiters a
+    server, largest over mean; `sends`: tries a server, the same; `pairs`: of a limiter and a server that were used in all; `server`,
+    `limiter`: pairs changed by that over the least possible."""
+    raw = base(job["limiters"], "none")
+    raw["fleet"]["servers"]["count"], raw["load"]["scale"], raw["duration_s"] = job["servers"], job["scale"], CHANGED_AT[1] + 1.0
+    raw["fleet"]["membership"]["subsets"] = job["way"] == "matching"
+    raw["faults"] = [{"at_s": CHANGE_AT[0], "action": "replace_servers", "share": 0.001, "for_s": 0.5}]
+    seen: list[set[tuple[int, int]]] = []
+    used: set[tuple[int, int]] = set()
+    sends: dict[int, int] = {}
+
+    def held(fleet: Fleet) -> set[tuple[int, int]]:
+        return {(seat.index, view.server.id) for seat in fleet.seats if seat.alive for view in seat.gateway.upstreams.part}
+
+    def script(fleet: Fleet) -> None:
+        for at in (CHANGE_AT[0] - 0.1, CHANGED_AT[0], CHANGE_AT[1] - 0.1, CHANGED_AT[1]):
+            fleet.engine.at(at, lambda: seen.append(held(fleet)))
+        fleet.engine.at(CHANGE_AT[1], fleet.seats[job["limiters"] // 2].kill)
+        take = fleet.servers.take
+
+        def taken(one, seat) -> None:
+            used.add((seat.index, one.server.id))
+            sends[one.server.id] = sends.get(one.server.id, 0) + 1
+            take(one, seat)
+        fleet.servers.take = taken
+    fleet, figures = run(raw, job["seed"], script)
+    before, replaced, settled, killed = seen
+    servers = sorted({server for _, server in before})
+
+    def largest(counts: list[int]) -> float:
+        return max(counts) / (sum(counts) / len(counts))
+
+    def changed(old: set, new: set, which: int) -> float:
+        """Pairs that changed, over those of who came or went: a server's have to be replaced, each by one other."""
+        moved = {one[which] for one in old} ^ {one[which] for one in new}
+        least = sum(one[which] in moved for one in old | new)
+        return len(old ^ new) / max(1, least * (2 if which else 1) / (2 if which and len(moved) > 1 else 1))
+    return figures | {"held": largest([sum(server == one for _, server in before) for one in servers]),
+                      "sends": largest([sends.get(one, 0) for one in servers]), "pairs": len(used),
+                      "server": changed(before, replaced, 1), "limiter": changed(settled, killed, 0)}
+
+
 def measure(folder: Path, seeds: list[int], processes: int | None = None,
             progress: Callable[[float], None] = lambda done: None) -> list[dict]:
     """Play what is not in the folder yet; all rows."""
@@ -147,14 +196,16 @@
 
 COLUMNS = {"bad": ("sent_to_bad", "served", "p99_ms", "words"), "errors": ("served", "errored", "words"),
            "link": ("others_served", "served", "words"), "cold": ("push", "used", "served", "falls"),
+           "parts": ("held", "sends", "pairs", "server", "limiter", "served"),
            "grow": ("jain_limiters", "jain_customers", "served", "errored", "over")}
 
 
 def groups(rows: list[dict]) -> dict[tuple, list[dict]]:
     found: dict[tuple, list[dict]] = {}
     for row in sorted(rows, key=lambda row: (row["what"], row.get("kind", ""), row["limiters"], row.get("scale", 0),
-                                             WAYS.index(row["way"]))):
-        found.setdefault((row["what"], row.get("kind", ""), row["limiters"], row.get("scale", ""), row["way"]), []).append(row)
+                                             (WAYS + PART_WAYS).index(row["way"]))):
+        kind = row.get("kind", f"{row['servers']} servers" if "servers" in row else "")
+        found.setdefault((row["what"], kind, row["limiters"], row.get("scale", ""), row["way"]), []).append(row)
     return found
 
 
--- a/brookhub/membership/core.py
+++ b/brookhub/membership/core.py
@@ -457,6 +457,10 @@
             self.sure += sure - member.sure
             member.counted, member.sure = counted, sure
 
+    def counted(self) -> list[str]:
+        """The others that `live` counts, by name: all listed at first, who is gone until it has been for SHRINK s."""
+        return [name for name in self.names if self.members[name].counted]
+
     def unheard(self) -> None:
         """Those of which nothing was heard since the start count no more; they have not left for all that."""
         for member in self.members.values():
--- a/brookhub/policy.py
+++ b/brookhub/policy.py
@@ -421,6 +421,7 @@
 
 class Unshared:  # no word of other gateways: nothing is shunned, and nothing awaits this one's turn
     shuns = due = tried = saw = listed = lambda self, *heard: False
+    least, ring = 0, lambda self, views, start: views[start:] + views[:start]  # this one's part: a stretch of the ring
 
 
 class Upstreams(Stage):  # chooses servers, sends, judges them, and decides on further tries
@@ -448,21 +449,20 @@
                 server.view = Upstream(server, max(1.0, PLACES / self.peers), self.dice.roll(), self.port.now)
                 self.servers.append(server.view)
         self.servers.sort(key=lambda view: view.server.id)
-        self.choices.listed({view.server.id: view.up_since for view in self.servers})
+        self.choices.listed({view.server.id: view.server for view in self.servers})
         self.draw()
         self.line.pump()
 
     def draw(self):
-        """This gateway's part: a short stretch of the ring from its number on; the sick are made up for."""
+        """This gateway's part: a short stretch of the ring from its number on, or as the fleet chose; the sick are made up for."""
         now, count, sound = self.port.now, len(self.servers), 0
-        size = max(PART, self.sends.read(now) / MEMORY * SEEN)
-        start, self.part, self.drawn_at = floor(self.start * count), [], now
-        for view in self.servers[start:] + self.servers[:start]:
+        size = max(PART, self.choices.least, self.sends.read(now) / MEMORY * SEEN)
+        self.part, self.drawn_at = [], now
+        for view in self.choices.ring(self.servers, floor(self.start * count)):
             if sound < size:
                 self.part.append(view)
                 sound += view.sound() and not self.choices.shuns(view.server.id)
-        self.peers = max(1.0, self.gateways * len(self.part) / max(1, count))
-        self.rivals = max(1.0, self.sure * len(self.part) / max(1, count))
+        self.peers, self.rivals = (max(1.0, of * len(self.part) / max(1, count)) for of in (self.gateways, self.sure))
         self.window = self.window or max(1.0, PLACES * count / self.gateways)
         self.warm = sum(self.is_warm(view) for view in self.part)
         self.part += [view for view in self.servers if self.choices.due(view.server.id) and view not in self.part]
@@ -648,9 +648,9 @@
         self.redivide(part > 0)
 
     def choices_told(self, choices):
-        """What the fleet knows together of its servers (choices.Signals); each decides alone without it."""
+        """What the fleet knows and chooses together of its servers (choices.Shared); each decides alone without it."""
         self.upstreams.choices = choices
-        choices.listed({view.server.id: view.up_since for view in self.upstreams.servers})
+        choices.listed({view.server.id: view.server for view in self.upstreams.servers})
 
     def arrived(self, call):
         now, customer = self.port.now, call.customer
--- a/brookhub/routing/peers.py
+++ b/brookhub/routing/peers.py
@@ -11,7 +11,7 @@
 
 from xxhash import xxh3_64_intdigest
 
-from ..choices import TOPIC, ByPeers, Signals, Turns, Unusable, unpack
+from ..choices import TOPIC, ByPeers, Parts, Shared, Signals, Turns, Unusable, unpack
 from ..membership import LARGEST, WORDS, Membership, Unreadable, decode
 from ..transport.threads import spawn
 
@@ -50,8 +50,10 @@
         self.turns = Turns(xxh3_64_intdigest(spec.fleet), spec.name)  # one key for a fleet, the same at all
         self.on_topic: dict[int, object] = {}  # what other parts take of the peers' words
         self.signals = Signals(ByPeers(self, self.core), self.turns) if spec.signals else None
+        self.parts = Parts(self.turns.key, spec.name, self.by_name, self.core.counted) if spec.subsets else None
+        if self.signals or self.parts:
+            port.gateway.choices_told(Shared(self.signals, self.parts))
         if self.signals:
-            port.gateway.choices_told(self.signals)
             self.shunned: list[int] = []
             self.look()
 
@@ -68,6 +70,8 @@
         """The file was read again: other peers from now on; its own name and address hold until the next start."""
         self.list(spec)
         self.core.relist(self.by_name)
+        if self.parts:
+            self.parts.relist(self.by_name)
 
     def read(self) -> None:
         """The thread: whatever arrives, to the end of the program."""
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from brookhub.choices import Subsets, Turns, size
+from brookhub.choices import Parts, Shared, Subsets, Turns, size
+from brookhub.choices.parts import MOST_PAIRS
 from brookhub.choices.subsets import BLOCK, SLACK, capacities
 from brookhub.choices.turns import EPOCH, GRACE
 
@@ -186,3 +187,107 @@
     sleeper.woke(60.0)
     assert not any(sleeper.mine(f"m{n}", 60.0 + GRACE / 2) for n in range(50))
     assert any(sleeper.mine(f"m{n}", 60.0 + GRACE) for n in range(50))
+
+
+# a limiter's part by the fleet's matching
+
+
+class Crowd:
+    """Limiters by name, each with its Parts, that see who is there in `views` (by name; all see the same where it is not said)."""
+
+    def __init__(self, names, servers, key=1):
+        self.names, self.here, self.views = names, set(names), {}
+        self.parts = {name: Parts(key, name, names, lambda name=name: sorted(self.views.get(name, self.here) - {name})) for name in names}
+        self.listed(servers)
+
+    def listed(self, servers):
+        self.servers = servers
+        for one in self.parts.values():
+            one.listed(servers)
+
+    def pairs(self):
+        return {(name, server) for name in sorted(self.here) for server in self.parts[name].order()[:self.parts[name].least()]}
+
+
+def sites(count, zones=3, first=0):
+    return {n: (n % zones, 1.0) for n in range(first, first + count)}
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_parts_are_even_in_each_zone_and_move_little_as_limiters_and_servers_come_and_go(seed):
+    chance = random.Random(seed)
+    names = [f"n{n}" for n in range(60)]
+    crowd = Crowd(names, sites(45), key=seed)
+    crowd.here = set(chance.sample(names, 40))
+    moved = least = 0
+    before = crowd.pairs()
+    for step in range(16):
+        what = chance.random()
+        if what < 0.3:
+            crowd.here.discard(chance.choice(sorted(crowd.here)))
+        elif what < 0.6 and len(crowd.here) < 60:
+            crowd.here.add(chance.choice(sorted(set(names) - crowd.here)))
+        else:
+            servers = dict(crowd.servers)
+            gone = chance.choice(sorted(servers))
+            servers[1000 + step] = servers.pop(gone)  # replaced in its zone
+            crowd.listed(servers)
+        now = crowd.pairs()
+        count, zones = {}, {}
+        for name, server in now:
+            count[server] = count.get(server, 0) + 1
+            zones.setdefault(name, []).append(crowd.servers[server][0])
+        mean = len(now) / len(crowd.servers)
+        assert max(count.values()) <= 1.25 * mean + 1 and len(count) == len(crowd.servers)  # no server without a limiter
+        assert all(max(map(own.count, range(3))) - min(map(own.count, range(3))) <= 1 for own in zones.values())
+        if abs(len(now) / len(crowd.here) - len(before) / len(before and {name for name, _ in before})) < 0.5:  # parts of one size
+            moved += len(now ^ before)
+            least += 2 * mean if what >= 0.6 else len(now) / len(crowd.here)
+        before = now
+    assert least and moved <= 3.0 * least
+
+
+def test_all_that_see_the_same_choose_alike_and_two_sides_of_a_split_each_cover_every_server():
+    crowd = Crowd([f"n{n}" for n in range(24)], sites(30))
+    whole = crowd.pairs()
+    assert whole == Crowd(list(reversed(crowd.names)), dict(reversed(sites(30).items()))).pairs()  # no order matters
+    left, right = set(crowd.names[:8]), set(crowd.names[8:])
+    crowd.views = {name: left if name in left else right for name in crowd.names}
+    apart = crowd.pairs()
+    for side in (left, right):
+        assert {server for name, server in apart if name in side} == set(crowd.servers)
+    crowd.views = {}
+    assert crowd.pairs() == whole  # healed: as before
+
+
+def test_one_of_another_view_for_a_while_disturbs_only_what_it_sees_otherwise():
+    crowd = Crowd([f"n{n}" for n in range(30)], sites(30))
+    before = crowd.pairs()
+    crowd.views = {"n3": set(crowd.names) - {"n9"}}
+    changed = before ^ crowd.pairs()
+    assert {name for name, _ in changed} <= {"n3"}
+
+
+def test_a_fleet_too_large_to_match_takes_the_stretch_and_one_that_is_not_listed_has_no_part():
+    class View:
+        def __init__(self, server):
+            self.server = server
+
+    class Server:
+        def __init__(self, ident):
+            self.id, self.zone, self.weight, self.up_since = ident, 0, 1.0, 0.0
+    servers = {n: Server(n) for n in range(200)}
+    views = [View(one) for one in servers.values()]
+    names = [f"n{n}" for n in range(MOST_PAIRS // 200 + 1)]
+    large = Shared(parts=Parts(1, "n0", names, lambda: names))
+    large.listed(servers)
+    assert large.least == 0 and list(large.ring(views, 7)) == views[7:] + views[:7]
+    small = Shared(parts=Parts(1, "n0", names[:20], lambda: [*names[:20], "stranger"]))
+    small.listed(servers)
+    order = [one.server.id for one in small.ring(views, 7)]
+    assert sorted(order) == sorted(servers) and order != [one.server.id for one in views[7:] + views[:7]] and small.least > 12
+    small.listed({n: servers[n] for n in range(3)})
+    assert [one.server.id for one in small.ring(views[:3], 0)] and small.least == 3
+    nothing = Shared()
+    nothing.listed(servers)
+    assert nothing.least == 0 and not nothing.shuns(1) and not nothing.due(1) and list(nothing.ring(views, 0)) == views
--- a/tests/test_choices_processes.py
+++ b/tests/test_choices_processes.py
@@ -10,12 +10,14 @@
 import pytest
 from xxhash import xxh3_64_intdigest
 
-from brookhub.choices import Turns
+from brookhub.choices import Parts, Turns
 from brookhub.choices.signals import FADE, HOLD_MOST, TRY_AT
 from brookhub.choices.turns import GRACE
 from brookhub.lab.processes import ProcessLab
+from brookhub.membership.core import SHRINK
+from brookhub.protocol import hosts
 from helpers import until
-from test_fleet_processes import all_hold, lab  # noqa: F401  the fixture
+from test_fleet_processes import all_hold, fleet, lab  # noqa: F401  the fixture
 from test_processes import experiment
 
 BAD, USERS = 5, 2  # the server that turns bad; limiters that use it once it is well: more than a holder
@@ -152,3 +154,51 @@
     assert len(push) >= 11 and max(push.values()) < 1.0, push  # cold ones were used, and none up to rule 4's bound
     # A restart of all takes some 2 s of the 11, longer on a loaded machine; calls that find no limiter then are nobody's fault.
     assert outcome.result.proxied > 0.5 * (outcome.result.calls - outcome.verdict.excused)
+
+
+def test_each_limiter_uses_its_part_by_the_matching_also_after_a_kill_and_on_both_sides_of_a_split(lab):
+    """Fourteen limiters, each with 24 of 30 servers; whom a limiter sends to is read from the servers' own records."""
+    names = [f"n{n}" for n in range(14)]
+
+    def parts(lab, here):
+        found = {}
+        for name in here:
+            one = Parts(xxh3_64_intdigest("lab"), name, names, lambda: here)
+            one.listed({hosts.ident(f"s-{ident}"): (server.model.zone, 1.0) for ident, server in lab.servers.items()})
+            own = set(one.order()[:one.least()])
+            found[lab.limiters[int(name[1:])].address] = {ident for ident in lab.servers if hosts.ident(f"s-{ident}") in own}
+        return found
+
+    def keeps(lab, here, seconds):
+        """For so long each sends only to its part, and in all to most of it."""
+        since, own = monotonic(), parts(lab, here)
+        sleep(seconds)
+        used = {at: {one.server for one in list(lab.seen) if one.at >= since and one.limiter == at} for at in own}
+        beyond = {at: them - own[at] for at, them in used.items() if them - own[at]}
+        assert not beyond, (beyond, here)
+        assert all(used.values())
+        assert all(len(them) == 24 for them in own.values())
+
+    def script(lab):
+        assert until(all_hold(lab, 14), 8)
+        sleep(2.0)  # the first word of all servers
+        keeps(lab, names, 3.0)
+        lab.kill(lab.limiters[5])
+        rest = [name for name in names if name != "n5"]
+        assert until(lambda: present_of(lab, rest) == {13}, 6)
+        sleep(SHRINK + 1.5)  # one that was away for a moment keeps its part
+        keeps(lab, rest, 3.0)
+        side = rest[:1]
+        lab.split([lab.limiters[int(name[1:])] for name in side], True)
+        assert until(lambda: present_of(lab, rest[1:]) == {12}, 8)
+        sleep(SHRINK + 1.5)
+        keeps(lab, rest[1:], 2.0)
+        lab.split([], False)
+        assert until(lambda: present_of(lab, rest) == {13}, 8)
+        sleep(1.5)
+        keeps(lab, rest, 2.0)
+    lab(script, 70.0, limiters=14, servers=30, rate=60.0, subsets=True)
+
+
+def present_of(lab, names):
+    return {fleet(lab.limiters[int(name[1:])]).get("present") for name in names}
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -23,12 +23,12 @@
 from helpers import until
 
 
-def experiment(limiters=4, servers=6, duration=4.0, faults=(), rate=40.0, membership=False, signals=False, service=0.02, warm=2.0,
-               **more):
+def experiment(limiters=4, servers=6, duration=4.0, faults=(), rate=40.0, membership=False, signals=False, subsets=False, service=0.02,
+               warm=2.0, **more):
     """A small fleet: two routes, one plan with room for all calls; servers that are new are warm after `warm` s."""
     return Experiment.model_validate({
         "name": "small", "duration_s": duration, "faults": list(faults), **more,
-        "fleet": {"limiters": limiters, "membership": {"on": membership, "period_s": 0.2, "signals": signals},
+        "fleet": {"limiters": limiters, "membership": {"on": membership, "period_s": 0.2, "signals": signals, "subsets": subsets},
                   "servers": {"count": servers, "places": 4, "service_s": service, "warm_after_s": warm},
                   "counter": {"wait_s": 0.2},
                   "routes": [{"name": "look", "target_s": 0.5, "client_timeout_s": 1.0, "share": 3},
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,7 +5,7 @@
 import pytest
 
 from brookhub.interface import Group, Outcome, Plan, Repeat, Route, State
-from brookhub.policy import IDLE, UNHEARD, Loans
+from brookhub.policy import IDLE, UNHEARD, Loans, Unshared
 
 from helpers import World
 
@@ -421,8 +421,8 @@
         assert (quota.pace.rate < before) is slower
 
 
-class Word:
-    """What the fleet says of servers, as choices.Signals would."""
+class Word(Unshared):
+    """What the fleet says of servers, as choices.Shared would."""
 
     def __init__(self):
         self.shunned, self.dues, self.sawn, self.tries = set(), set(), [], []
