--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -101,7 +101,7 @@
 
 
 def test_one_whose_case_began_a_moment_later_takes_the_holder_s_word_for_what_it_is():
-    """It took it for one more of the tries that were out when the case began, and came back after FADE: on processes 3 of 15 such runs."""
+    """It took it for one more of the tries that were out when the case began, and came back after FADE: on processes in 1 of 23 runs."""
     crowd = Crowd()
     for name in ("n1", "n2"):
         crowd.all[name].saw(5, BAD)
