Lab: one place for drawing, a plot of ceilings under lost and split counters

Need: six measurements opened and saved their figures by the same lines, found as repeats. Change: lab/canvas.py, without pyplot's global state; `brookhub lab recovery` draws ceilings as well. Measured: figures of subsets and ceilings drawn from rows in a test.

--- a/brookhub/cli.py
+++ b/brookhub/cli.py
@@ -270,6 +270,7 @@
         rows = measuring.measure(folder, list(seeds or range(1, 4)), processes, lambda done: bar.update(int(done * 1000) - bar.pos))
     click.echo(measuring.table(rows))
     click.echo(f"plot: {measuring.plot(rows, folder / 'recovery.png')}")
+    click.echo(f"plot: {measuring.plot_ceiling(rows, folder / 'ceiling.png')}")
 
 
 @lab.command("maintenance")
--- a/brookhub/lab/choices.py
+++ b/brookhub/lab/choices.py
@@ -16,6 +16,7 @@
 
 from ..choices.hashing import score
 from ..choices.subsets import Subsets, size
+from .canvas import panels, saved
 
 RESULTS = "choices.jsonl"
 GOLDEN = 0.6180339887  # of a circle, between numbers in turn (policy.GOLDEN)
@@ -138,14 +139,11 @@
 
 
 def plot(rows: list[dict], png: Path) -> Path:
-    import matplotlib
-    matplotlib.use("Agg")
-    import matplotlib.pyplot as plt
-    figure, axes = plt.subplots(1, 4, figsize=(17, 4))
-    panels = [("limiters_a_server", "limiters a server, largest / mean"), ("load_a_server", "load a server, largest / mean"),
-              ("churn_limiter", "changed pairs / least, a limiter goes"), ("churn_server", "changed pairs / least, a server goes")]
+    figure, axes = panels(4, (17, 4))
+    shown = [("limiters_a_server", "limiters a server, largest / mean"), ("load_a_server", "load a server, largest / mean"),
+             ("churn_limiter", "changed pairs / least, a limiter goes"), ("churn_server", "changed pairs / least, a server goes")]
     sizes = sorted({(row["limiters"], row["servers"]) for row in rows})
-    for axis, (key, title) in zip(axes, panels):
+    for axis, (key, title) in zip(axes, shown):
         for way in WAYS:
             points = []
             for number, (limiters, servers) in enumerate(sizes):
@@ -158,7 +156,4 @@
         axis.set_title(title)
         axis.grid(alpha=0.3)
     axes[0].legend()
-    figure.tight_layout()
-    figure.savefig(png, dpi=80)
-    plt.close(figure)
-    return png
+    return saved(figure, png)
--- a/brookhub/lab/maintenance.py
+++ b/brookhub/lab/maintenance.py
@@ -14,6 +14,7 @@
 from ..emulator import Fleet
 from ..emulator.site import Site
 from ..maintenance import Machine, Plan
+from .canvas import panels, saved
 from .jobs import keyed, play_all
 from .together import base
 
@@ -216,10 +217,7 @@
 
 def plot(rows: list[dict], png: Path) -> Path:
     """Time of a plan over the least possible, and served share, against K and the rate of faults."""
-    import matplotlib
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-    figure, (left, right) = pyplot.subplots(1, 2, figsize=(12, 4.5))
+    figure, (left, right) = panels(2, (12, 4.5))
     for place, most in enumerate(MOSTS):
         for how, mark in (("agreed", "o-"), ("timetable", "s--")):
             means = []
@@ -241,7 +239,4 @@
     right.set_xticks(range(len(keys)), [f"{how}\nK {most}" for how, most in keys], fontsize=7)
     right.set_title("served share")
     right.legend(fontsize=7)
-    figure.tight_layout()
-    figure.savefig(png, dpi=90)
-    pyplot.close(figure)
-    return png
+    return saved(figure, png)
--- a/brookhub/lab/membership.py
+++ b/brookhub/lab/membership.py
@@ -13,6 +13,7 @@
 from typing import Callable
 
 from ..emulator.peers import Crew
+from .canvas import panels, saved
 
 RESULTS = "membership.jsonl"
 SIZES = (8, 40, 200, 1000)
@@ -244,10 +245,7 @@
 
 def plot(rows: list[dict], png: Path) -> Path:
     """Four panels: time until a death is known, bytes a second, false deaths an hour, time to agree after a split."""
-    import matplotlib
-    matplotlib.use("Agg")
-    import matplotlib.pyplot as plt
-    figure, axes = plt.subplots(1, 4, figsize=(17, 4))
+    figure, axes = panels(4, (17, 4))
     for protocol in ("lifeguard", "swim", "heartbeat"):
         def points(what, value):
             by_size: dict[int, list[float]] = {}
@@ -278,7 +276,4 @@
     axes[2].tick_params(axis="x", labelsize=7)
     axes[2].set_yscale("symlog")
     axes[2].set_title("false deaths an hour, 200 members")
-    figure.tight_layout()
-    figure.savefig(png, dpi=80)
-    plt.close(figure)
-    return png
+    return saved(figure, png)
--- a/brookhub/lab/plot.py
+++ b/brookhub/lab/plot.py
@@ -5,12 +5,8 @@
 from collections import defaultdict
 from pathlib import Path
 
-import matplotlib
-
-matplotlib.use("Agg")  # files only: no display on a server
-import matplotlib.pyplot as plt  # noqa: E402
-
-from .sweep import read  # noqa: E402
+from .canvas import panels, saved
+from .sweep import read
 
 PANELS = [("served_share", "proxied share"), ("rate_limited_share", "rate-limited share"),
           ("p50_ms", "p50 latency, ms"), ("p99_ms", "p99 latency, ms"),
@@ -39,7 +35,7 @@
 
 def plot(out: Path, title: str, png: Path | None = None) -> Path:
     first, lines = series(read(out))
-    figure, axes = plt.subplots(2, 3, figsize=(13, 7))
+    figure, axes = panels(3, (13, 7), rows=2)
     for (key, label), axis in zip(PANELS, axes.flat):
         for name, points in lines.items():
             axis.plot([x for x, _ in points], [values[key] for _, values in points], marker="o", label=name)
@@ -50,8 +46,4 @@
         axis.grid(alpha=0.3)
     axes.flat[0].legend(fontsize=8)
     figure.suptitle(title)
-    figure.tight_layout()
-    png = png or out / "plot.png"
-    figure.savefig(png, dpi=90)
-    plt.close(figure)
-    return png
+    return saved(figure, png or out / "plot.png")
--- a/brookhub/lab/recovery.py
+++ b/brookhub/lab/recovery.py
@@ -13,6 +13,7 @@
 
 from ..config import Experiment, loads
 from ..emulator import Fleet
+from .canvas import panels, saved
 from .jobs import keyed, play_all
 
 RESULTS = "recovery.jsonl"
@@ -191,10 +192,7 @@
 
 def plot(rows: list[dict], png: Path) -> Path:
     """Worst overshoot against limiters by fault, with and without recovery; s until counts agree."""
-    import matplotlib
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-    figure, axes = pyplot.subplots(1, 3, figsize=(15, 4.5))
+    figure, axes = panels(3, (15, 4.5))
     for number, (kind, for_s) in enumerate(sorted({key[:2] for key in groups(rows)}, key=str)):
         label = f"{kind} {for_s:g} s" if for_s else kind
         for way, style in (("off", "--o"), ("on", "-o")):
@@ -212,7 +210,24 @@
         axis.grid(alpha=0.3)
     axes[1].axhline(1.0, color="red", lw=0.8)
     axes[0].legend(fontsize=7)
-    figure.tight_layout()
-    figure.savefig(png, dpi=90)
-    pyplot.close(figure)
-    return png
+    return saved(figure, png)
+
+
+def plot_ceiling(rows: list[dict], png: Path) -> Path:
+    """Units over a hard ceiling, worst customer of the soft plan, against limiters by fault; part of the ceiling that was used."""
+    figure, axes = panels(2, (11, 4.5))
+    found = groups(rows, "national")
+    for number, (kind, for_s) in enumerate(sorted({key[:2] for key in found}, key=str)):
+        for way, style in (("off", "--o"), ("on", "-o")):
+            own = {key[2]: them for key, them in found.items() if key[:2] == (kind, for_s) and key[3] == way}
+            label = (f"{kind} {for_s:g} s" if for_s else kind) if way == "on" else None
+            axes[0].plot(list(own), [max(row["ceiling_over"] for row in them) for them in own.values()], style, color=f"C{number}", label=label)
+            axes[1].plot(list(own), [mean(them, "of_ceiling") for them in own.values()], style, color=f"C{number}")
+    for axis, title in zip(axes, ("over a hard ceiling, ceiling's bursts, worst customer (dashed: no recovery)", "used of the ceiling's rate, mean")):
+        axis.set_xscale("log")
+        axis.set_xlabel("limiters")
+        axis.set_title(title, fontsize=9)
+        axis.grid(alpha=0.3)
+    axes[1].axhline(1.0, color="red", lw=0.8)
+    axes[0].legend(fontsize=7)
+    return saved(figure, png)
--- a/brookhub/lab/together.py
+++ b/brookhub/lab/together.py
@@ -12,6 +12,7 @@
 
 from ..config import Experiment, loads
 from ..emulator import Fleet
+from .canvas import panels, saved
 from .jobs import keyed, play_all
 
 RESULTS = "together.jsonl"
@@ -228,10 +229,7 @@
 
 def plot(rows: list[dict], png: Path) -> Path:
     """Tries lost on a bad server by way, and cold servers' use against rule 4's bound."""
-    import matplotlib
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-    figure, (left, right) = pyplot.subplots(1, 2, figsize=(12, 4.5))
+    figure, (left, right) = panels(2, (12, 4.5))
     kinds = [key for key in groups(rows) if key[0] == "bad"]
     places = sorted({key[1:4] for key in kinds})
     for offset, way in enumerate(WAYS):
@@ -254,7 +252,4 @@
     right.set_xlabel("limiters")
     right.set_title("most sends to a cold server, as a share of rule 4's bound")
     right.legend(fontsize=7)
-    figure.tight_layout()
-    figure.savefig(png, dpi=90)
-    pyplot.close(figure)
-    return png
+    return saved(figure, png)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -63,3 +63,13 @@
     assert sweep.sweep(spec, tmp_path, processes=1) == 0
     ran = CliRunner().invoke(main, ["lab", "plot", str(tmp_path)])
     assert ran.exit_code == 0 and (tmp_path / "plot.png").stat().st_size > 10_000
+
+
+def test_the_figures_of_subsets_and_of_ceilings_are_drawn_from_rows(tmp_path):
+    from brookhub.lab import choices, recovery
+    subsets = [{"limiters": 4, "servers": 10, "way": way, "weighted": False, "limiters_a_server": 1.1, "load_a_server": 1.2,
+                "churn_limiter": 1.0, "churn_server": None} for way in choices.WAYS]
+    ceilings = [{"kind": kind, "for_s": 0.0, "limiters": limiters, "way": way, "plans": "national", "ceiling_over": 0.5, "of_ceiling": 0.9}
+                for kind in ("none", "wipe") for limiters in (4, 40) for way in ("off", "on")]
+    for draw, rows in ((choices.plot, subsets), (recovery.plot_ceiling, ceilings)):
+        assert draw(rows, tmp_path / "drawn.png").stat().st_size > 10_000
