--- a/brookhub/lab/processes.py
+++ b/brookhub/lab/processes.py
@@ -400,6 +400,11 @@
         elif action == "counter_swap":
             self.counter.swap()
             self.after(fault.for_s, self.counter.restore)
+        elif action == "lose_answers":
+            hit = [self.counter, *self.servers.values()]
+            for one in hit:
+                one.lost = fault.share
+            self.after(fault.for_s, lambda: [setattr(one, "lost", 0.0) for one in hit])
         elif action == "counter_late":
             self.counter.delay += fault.delay_s
             self.after(fault.for_s, lambda: setattr(self.counter, "delay", self.counter.delay - fault.delay_s))
--- a/brookhub/stand_ins/server.py
+++ b/brookhub/stand_ins/server.py
@@ -78,6 +78,7 @@
                  at: tuple[str, int] = ("127.0.0.1", 0)):
         self.model, self.timers, self.rng, self.seen = model, timers, rng, seen
         self.lock, self.busy, self.waiting, self.dialled = threading.Lock(), set(), deque(), 0
+        self.lost = 0.0  # share of the answers that never come, though the work was done
         super().__init__(at)
 
     def serve(self, conn, lines):
@@ -135,8 +136,11 @@
                 return
             self.busy.discard(one)
             failing = self.model.mode == "failing" or self.rng.random() < self.model.error_share
-            one.how, one.ended = ("failed" if failing else "answered"), monotonic()
+            lost = self.lost and self.rng.random() < self.lost
+            one.how, one.ended = "lost" if lost else "failed" if failing else "answered", monotonic()
             self.pump()
+        if lost:
+            return
         one.conn.sendall(b"-ERR failed\r\n" if failing else b"*3\r\n$16\r\n%016x\r\n$-1\r\n$-1\r\n" % one.call)
 
     def pump(self) -> None:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -108,6 +108,7 @@
 def play(tmp_path, spec, seed=1):
     with ProcessLab(spec, tmp_path, seed) as lab:
         outcome = lab.play()
+        outcome.seen = lab.seen
         pids = [one.process.pid for one in lab.limiters]
         faults = [line for one in lab.limiters for line in one.lines() if line["event"] == "fault"]
     assert not faults, faults[0]
@@ -122,10 +123,12 @@
         {"at_s": 2.5, "action": "reset_links", "share": 0.1, "for_s": 0.5},
         {"at_s": 3.0, "action": "replace_servers", "share": 0.3, "for_s": 1.0},
         {"at_s": 3.5, "action": "stall_limiters", "share": 0.25, "for_s": 1.0},
-        {"at_s": 4.0, "action": "counter_down", "for_s": 0.5}]))
+        {"at_s": 4.0, "action": "counter_down", "for_s": 0.5},
+        {"at_s": 4.6, "action": "lose_answers", "share": 0.1, "for_s": 1.0}]))
     result = outcome.result
     assert not result.broken, result.first_break
     assert result.calls > 150 and result.proxied > 0.8 * (result.calls - outcome.verdict.excused)
+    assert any(one.how == "lost" for one in outcome.seen)  # answers that never came, for work that was done
 
 
 def test_a_planned_end_of_every_limiter_in_turn_loses_no_call(tmp_path):
@@ -141,8 +144,6 @@
     with ProcessLab(experiment(limiters=1), tmp_path) as lab:
         with pytest.raises(LabError, match="no membership, so no peer links"):
             lab.fault(experiment(faults=[{"at_s": 0, "action": "split_limiters"}]).faults[0])
-        with pytest.raises(LabError, match="lose_answers: not played on processes"):
-            lab.fault(experiment(faults=[{"at_s": 0, "action": "lose_answers"}]).faults[0])
 
 
 def test_a_model_server_keeps_its_places_its_queue_and_the_rule_of_cold_servers():
