--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,162 +1,81 @@
-"""Case 3: a repeat whose connection comes up late is sent after the time in which servers drop repeats."""
+"""Case 3: a request with an empty body that comes in two pieces is run early and answered twice."""
 
 from __future__ import annotations
 
-import copy
-import socket
 import threading
 from time import monotonic, sleep
 
-from standins import SETTINGS, CannotRunError, Client, Fleet, Record, Server, encode, run_case, with_trouble
+from standins import Client, Fleet, Record, Server, encode, run_case, with_trouble
 
-from brookhub.protocol.server_list import format_address
-
-WINDOW = 2.0  # window_s of solve-submit: "a shorter window for repeats" than the site's 8 s.
-CONNECT_TIMEOUT = 1.5  # connect_timeout_s; connections that come up late do so within "up to 1.5 s".
-SLACK = 0.05  # "every time limit is 50 ms longer".
-LONG_WORK = 1.8  # Seconds of work of a solve-submit; half of its latency target is 1.25 s.
-SHORT_WORK = 0.15  # Seconds of work of the requests that open connections before.
-WARM_UP = 8  # Requests to each limiter, at once, before the one that counts.
-JOIN_AFTER = 0.4  # Seconds after which discovery lists a second server in each hall.
-ACCEPT_AFTER = 1.8  # Seconds after which these servers accept; the system's next try is 1 s after the first.
-DEADLINE = 8.0
-HALLS = ("hall-a", "hall-b", "hall-c")
-
-
-class LateServer(Server):
-    """A server whose connections come up late: until `accept`, its queue of new connections is full."""
-
-    def listen(self, endpoint: tuple[str, int]) -> None:
-        """Open the listener with the shortest queue, and do not accept yet."""
-        self.listener = socket.create_server(endpoint, backlog=0)
-        self.endpoint = self.listener.getsockname()
-        self.address = format_address(self.endpoint)
-        self.filler: socket.socket | None = None
-
-    def fill(self) -> None:
-        """Fill the queue, so that the system leaves further connection attempts without an answer."""
-        self.filler = socket.create_connection(self.endpoint, timeout=5)
-
-    def accept(self) -> None:
-        """Accept connections from now on."""
-        self.listener.listen(128)
-        if self.filler:
-            self.filler.close()
-        threading.Thread(target=self.accept_all, args=(self.listener,), daemon=True).start()
-
-
-class Halls:
-    """What the servers run. The servers of a hall drop a repeat of a key for WINDOW seconds."""
-
-    def __init__(self, record: Record) -> None:
-        self.record = record
-        self.lock = threading.Lock()
-        self.arrivals: dict[bytes, list[float]] = {}  # By key: when each attempt arrived whole.
-        self.runs: dict[bytes, list[float]] = {}  # By key: when it was run.
-
-    def on_run(self, server: Server, words: list[bytes]) -> bytes:
-        """Run a command, or drop it as a repeat."""
-        fields = dict(field.split(b"=", 1) for field in words[3].split(b","))
-        key = fields.get(b"k")
-        if key is None:
-            return words[2]
-        now = monotonic()
-        with self.lock:
-            self.arrivals.setdefault(key, []).append(now)
-            runs = self.runs.setdefault(key, [])
-            is_repeat = bool(runs) and now - runs[0] <= WINDOW + SLACK
-            if not is_repeat:
-                runs.append(now)
-            age = now - self.arrivals[key][0]
-        what = "drops the repeat" if is_repeat else "RUNS"
-        self.record.note(
-            f"{server.name} ({server.zone}) {what} {key.decode()}, {age:.3f} s after its first attempt"
-        )
-        return words[2]
-
-
-def work_of(server: Server, words: list[bytes]) -> float:
-    """Return the seconds of a command's work."""
-    is_first = b"c=solve-submit" in words[3] and not isinstance(server, LateServer)
-    return LONG_WORK if is_first else SHORT_WORK
+CONNECTIONS = 9  # Three for each limiter, one after another.
+PAUSE = 0.3  # Seconds between the two pieces of a request.
+WORK = 0.1  # Seconds that a server needs.
+DEADLINE = 8.0  # Seconds that the client waits; the class's hard_limit_s.
+SLACK = 0.5 + 0.05  # invariants.answer_slack_s, and "every time limit is 50 ms longer".
+QUIET = 1.0  # Seconds after the answer in which nothing more may come.
+LAST_PIECE = b"\r\n"  # The end of the body; the body before it is empty.
 
 
 def play(record: Record) -> bool:
-    """Send a tokened request to each limiter; return whether no key was sent again after the window."""
-    settings = copy.deepcopy(SETTINGS)
-    settings["classes"][2]["window_s"] = WINDOW
-    settings["limits"]["connect_timeout_s"] = CONNECT_TIMEOUT
-    halls = Halls(record)
-    first = [Server(f"s-{hall}-1", hall, work_of, halls.on_run) for hall in HALLS]
-    second = [LateServer(f"s-{hall}-2", hall, work_of, halls.on_run) for hall in HALLS]
-    fleet = Fleet(record, list(first), settings=settings)
+    """Send requests with an empty body, in two pieces or whole; return whether each gets one answer."""
+    run: dict[bytes, float] = {}
+    lock = threading.Lock()
+
+    def work(server: Server, words: list[bytes]) -> float:
+        return WORK
+
+    def on_run(server: Server, words: list[bytes]) -> bytes:
+        with lock:
+            run.setdefault(words[2], monotonic())
+        record.note(f"{server.name} runs {words[2].decode()}")
+        return b"done " + words[2]
+
+    servers = [Server(f"s-{number}", f"hall-{'abc'[number % 3]}", work, on_run) for number in range(9)]
+    fleet = Fleet(record, servers)
+    broken = 0
     try:
         fleet.start()
         sleep(3)  # The limiters connect to the counter, and their shares of the quotas fill.
-        clients = [Client(fleet, index) for index in range(len(fleet.ports))]
-        connections = warm_up(record, clients, first)
-        if with_trouble():
-            for server in second:
-                server.fill()
-        else:
-            for server in second:
-                server.accept()
-        send_submits(record, clients)
-        sleep(JOIN_AFTER)
-        fleet.servers += second
-        fleet.discovery.hosts = [server.entry() for server in fleet.servers]
-        fleet.discovery.push(*[server.entry() for server in second])
-        record.note("discovery lists a second server in each hall")
-        sleep(ACCEPT_AFTER - JOIN_AFTER)
-        if with_trouble():
-            for server in second:
-                server.accept()
-        late = len(clients)  # Each limiter makes one attempt at a second server.
-        record.note(f"connections to servers: {connections} on time, at most {late} late")
-        if 3 * late > connections + late:
-            raise CannotRunError("more than a third of the connections are late")
-        for client in clients:
-            client.wait_for(WARM_UP + 1, DEADLINE)
-            record.note(f"limiter {clients.index(client)} answered: {client.answers[WARM_UP:]}")
+        for number in range(CONNECTIONS):
+            broken += not play_request(record, fleet, number, run)
     finally:
         fleet.stop()
-    return judge(record, halls)
-
-
-def warm_up(record: Record, clients: list[Client], servers: list[Server]) -> int:
-    """Have the limiters open connections; return how many there are."""
-    for index, client in enumerate(clients):
-        for number in range(WARM_UP):
-            request_id = b"%016x" % (1000 * (index + 1) + number)
-            fields = b"c=grid-fetch,t=national,d=4000,units=1,spread=3,first=0"
-            client.send(encode(b"CALL.GET", b"%016x" % (100 + number), request_id, fields))
-    for client in clients:
-        if not client.wait_for(WARM_UP, 5):
-            raise CannotRunError("the first requests are not answered")
-    sleep(0.5)
-    return sum(len(server.connections) for server in servers)
-
-
-def send_submits(record: Record, clients: list[Client]) -> None:
-    """Send a tokened request to each limiter."""
-    for index, client in enumerate(clients):
-        key = b"key-%d" % index
-        fields = b"c=solve-submit,t=national,d=8000,k=%b,units=1,spread=3,first=0" % key
-        client.send(encode(b"CALL.POST", b"%016x" % (100 + index), b"%016x" % (1 + index), fields, b"body"))
-        record.note(f"client sends {key.decode()} to limiter {index}")
-
-
-def judge(record: Record, halls: Halls) -> bool:
-    """Return whether every attempt of a key arrived within the window of its first one."""
-    if len(halls.arrivals) < len(HALLS):
-        raise CannotRunError("not every tokened request was sent to a server")
-    late = 0
-    for key, arrivals in sorted(halls.arrivals.items()):
-        ages = [round(at - arrivals[0], 3) for at in arrivals]
-        record.note(f"{key.decode()}: attempts after {ages} s, run {len(halls.runs[key])} times")
-        late += ages[-1] > WINDOW + SLACK
-    record.note(f"keys sent again after the window of {WINDOW} s: {late}")
-    return late == 0
+    record.note(f"requests without exactly one answer: {broken} of {CONNECTIONS}")
+    return broken == 0
+
+
+def play_request(record: Record, fleet: Fleet, number: int, run: dict[bytes, float]) -> bool:
+    """Send a request on a new connection; return whether it got exactly one answer, in time."""
+    request_id = b"%016x" % (1 + number)
+    command = encode(
+        b"CALL.POST",
+        b"%016x" % (100 + number),
+        request_id,
+        b"c=solve-submit,t=national,d=%d,k=%b,units=1,spread=3,first=0" % (1000 * DEADLINE, request_id),
+        b"",
+    )
+    client = Client(fleet, number % len(fleet.ports))
+    if with_trouble():
+        client.send(command[: -len(LAST_PIECE)])
+        record.note(f"connection {number}: client sends {request_id.decode()} but for its last two bytes")
+        sleep(PAUSE)
+        sent_at = monotonic()
+        client.send(LAST_PIECE)
+    else:
+        sent_at = monotonic()
+        client.send(command)
+    record.note(f"connection {number}: client has sent the last byte of {request_id.decode()}")
+    client.wait_for(1, DEADLINE + SLACK)
+    sleep(QUIET)
+    for at, answer in client.answers:
+        text = answer[:60].decode(errors="replace")
+        record.note(f"connection {number}: answer {at - sent_at:+.3f} s from the last byte sent: {text}")
+    if request_id in run:
+        record.note(f"connection {number}: run {run[request_id] - sent_at:+.3f} s from the last byte sent")
+    if client.ended_at is not None:
+        record.note(f"connection {number}: ended by the limiter")
+    client.close()
+    return len(client.answers) == 1 and client.answers[0][0] <= sent_at + DEADLINE + SLACK
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -27,7 +27,8 @@
 from brookhub.fakes.resp import read_command
 
 ROOT = Path(__file__).resolve().parent.parent
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Exit codes of case.py. run.sh turns BROKEN into 1 and any other code, such as that of an error, into 2.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
 MAX_SECONDS = 110  # The case ends itself by then.
 READY_WITHIN = 30.0
 
@@ -86,7 +87,7 @@
         "ramp_time_s": 8.0,
     },
 }
-LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}  # The largest of a scored day.
+LIMITS: dict[str, float] = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}  # The largest of a scored day.
 
 
 class CannotRunError(Exception):
@@ -126,7 +127,7 @@
     signal.alarm(MAX_SECONDS)
     try:
         result = HELD if play(record) else BROKEN
-    except (CannotRunError, OSError) as error:
+    except Exception as error:  # Whatever it is: the case did not run to its end.
         record.note("could not run: " + "".join(traceback.format_exception(error)))
         result = NOT_RUN
     signal.alarm(0)
@@ -198,10 +199,12 @@
         servers: list[Server],
         count: int = 3,
         settings: dict[str, Any] | None = None,
+        limits: dict[str, float] | None = None,
     ) -> None:
         self.record = record
         self.servers = servers
         self.settings = settings or SETTINGS
+        self.limits = limits or LIMITS
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.counter = FakeCounter()
         self.discovery = FakeDiscovery([server.entry() for server in servers])
@@ -230,7 +233,7 @@
                     "listen": f"127.0.0.1:{self.ports[index]}",
                     "discovery": self.discovery.address,
                     "seed": f"{random.getrandbits(64):x}",
-                    "limits": LIMITS,
+                    "limits": self.limits,
                     "counter": self.counter.address,
                     "known": json.loads(self.discovery.complete_list()),
                     "settings": {**self.settings, "slot_no": index},
