--- a/review/1/case.py
+++ b/review/1/case.py
@@ -77,7 +77,7 @@
             record.note(f"connection {number}: answer to {request_id.decode()} {at:.3f}: {text}")
         else:
             was_run = request_id in run
-            lost += was_run
+            lost += was_run and client.ended_at is not None  # The limiter ended the connection itself.
             record.note(
                 f"connection {number}: NO answer to {request_id.decode()}, run by a server: {was_run}"
             )
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,150 +1,163 @@
-"""Case 2: bad clients that send halves of commands drive a limiter over its memory, and it is killed."""
+"""Case 2: a repeat whose connection comes up late is sent after the time in which servers drop repeats."""
 
 from __future__ import annotations
 
-import contextlib
-import itertools
-import random
+import copy
 import socket
-import subprocess
-import sys
 import threading
-from pathlib import Path
 from time import monotonic, sleep
 
-from standins import Client, Fleet, Record, Server, encode, run_case, with_trouble
-
-# service/LATER.md: "32 to 192 MB depending on language and day, and 256 to 1,024 descriptors".
-LIMITS = {"cores": 1.0, "memory_mb": 128, "sockets": 512}
-BAD_CLIENTS = 600  # "Others connect by hundreds".
-START_SECONDS = 2.0  # Time over which the bad clients begin.
-BAD_PROCESSES = 2  # The processes that play them.
-HALF = 65_000  # Bytes that a bad client sends of a command whose body has 64 KiB.
-USUAL_CLIENTS = 10
-SECONDS = 40.0
-MEAN_WORK = 0.18  # Seconds; grid-fetch has 130 to 230 ms of work.
-VICTIM = 0  # Index of the limiter that the bad clients connect to.
-IDS = itertools.count(1)
+from standins import SETTINGS, CannotRunError, Client, Fleet, Record, Server, encode, run_case, with_trouble
+
+from brookhub.protocol.server_list import format_address
+
+WINDOW = 2.0  # window_s of solve-submit: "a shorter window for repeats" than the site's 8 s.
+CONNECT_TIMEOUT = 1.5  # connect_timeout_s; connections that come up late do so within "up to 1.5 s".
+SLACK = 0.05  # "every time limit is 50 ms longer".
+LONG_WORK = 1.4  # Seconds of work of a solve-submit; the limiter gives up on it after 1.25 s.
+SHORT_WORK = 0.15  # Seconds of work of the requests that open connections before.
+WARM_UP = 8  # Requests to each limiter, at once, before the one that counts.
+JOIN_AFTER = 0.4  # Seconds after which discovery lists a second server in each hall.
+ACCEPT_AFTER = 1.8  # Seconds after which these servers accept; the system's next try is 1 s after the first.
+DEADLINE = 8.0
+HALLS = ("hall-a", "hall-b", "hall-c")
+
+
+class LateServer(Server):
+    """A server whose connections come up late: until `accept`, its queue of new connections is full."""
+
+    def listen(self, endpoint: tuple[str, int]) -> None:
+        """Open the listener with the shortest queue, and do not accept yet."""
+        self.listener = socket.create_server(endpoint, backlog=0)
+        self.endpoint = self.listener.getsockname()
+        self.address = format_address(self.endpoint)
+        self.filler: socket.socket | None = None
+
+    def fill(self) -> None:
+        """Fill the queue, so that the system leaves further connection attempts without an answer."""
+        self.filler = socket.create_connection(self.endpoint, timeout=5)
+
+    def accept(self) -> None:
+        """Accept connections from now on."""
+        self.listener.listen(128)
+        if self.filler:
+            self.filler.close()
+        threading.Thread(target=self.accept_all, args=(self.listener,), daemon=True).start()
+
+
+class Halls:
+    """What the servers run. The servers of a hall drop a repeat of a key for WINDOW seconds."""
+
+    def __init__(self, record: Record) -> None:
+        self.record = record
+        self.lock = threading.Lock()
+        self.arrivals: dict[bytes, list[float]] = {}  # By key: when each attempt arrived whole.
+        self.runs: dict[bytes, list[float]] = {}  # By key: when it was run.
+
+    def on_run(self, server: Server, words: list[bytes]) -> bytes:
+        """Run a command, or drop it as a repeat."""
+        fields = dict(field.split(b"=", 1) for field in words[3].split(b","))
+        key = fields.get(b"k")
+        if key is None:
+            return words[2]
+        now = monotonic()
+        with self.lock:
+            self.arrivals.setdefault(key, []).append(now)
+            runs = self.runs.setdefault(key, [])
+            is_repeat = bool(runs) and now - runs[0] <= WINDOW + SLACK
+            if not is_repeat:
+                runs.append(now)
+            age = now - self.arrivals[key][0]
+        what = "drops the repeat" if is_repeat else "RUNS"
+        self.record.note(
+            f"{server.name} ({server.zone}) {what} {key.decode()}, {age:.3f} s after its first attempt"
+        )
+        return words[2]
+
+
+def work_of(server: Server, words: list[bytes]) -> float:
+    """Return the seconds of a command's work."""
+    is_first = b"c=solve-submit" in words[3] and not isinstance(server, LateServer)
+    return LONG_WORK if is_first else SHORT_WORK
 
 
 def play(record: Record) -> bool:
-    """Serve usual clients, with bad ones beside them; return whether the limiter stayed within its memory."""
-
-    def work(server: Server, words: list[bytes]) -> float:
-        return min(1.0, random.expovariate(1 / MEAN_WORK))
-
-    servers = [
-        Server(f"s-{number}", f"hall-{'abc'[number % 3]}", work, lambda server, words: words[2])
-        for number in range(9)
-    ]
-    fleet = Fleet(record, servers, limits=LIMITS)
-    floods: list[subprocess.Popen[bytes]] = []
+    """Send a tokened request to each limiter; return whether no key was sent again after the window."""
+    settings = copy.deepcopy(SETTINGS)
+    settings["classes"][2]["window_s"] = WINDOW
+    settings["limits"]["connect_timeout_s"] = CONNECT_TIMEOUT
+    halls = Halls(record)
+    first = [Server(f"s-{hall}-1", hall, work_of, halls.on_run) for hall in HALLS]
+    second = [LateServer(f"s-{hall}-2", hall, work_of, halls.on_run) for hall in HALLS]
+    fleet = Fleet(record, list(first), settings=settings)
     try:
         fleet.start()
         sleep(3)  # The limiters connect to the counter, and their shares of the quotas fill.
-        end = monotonic() + SECONDS
-        usual = [UsualClient(fleet, number, end) for number in range(USUAL_CLIENTS)]
-        for client in usual:
-            threading.Thread(target=client.run, daemon=True).start()
+        clients = [Client(fleet, index) for index in range(len(fleet.ports))]
+        connections = warm_up(record, clients, first)
+        if with_trouble():
+            for server in second:
+                server.fill()
+        else:
+            for server in second:
+                server.accept()
+        send_submits(record, clients)
+        sleep(JOIN_AFTER)
+        fleet.servers += second
+        fleet.discovery.hosts = [server.entry() for server in fleet.servers]
+        fleet.discovery.push(*[server.entry() for server in second])
+        record.note("discovery lists a second server in each hall")
+        sleep(ACCEPT_AFTER - JOIN_AFTER)
         if with_trouble():
-            record.note(f"{BAD_CLIENTS} bad clients begin")
-            for _ in range(BAD_PROCESSES):
-                floods.append(start_flood(fleet.ports[VICTIM]))
-        held = watch_memory(record, fleet, end)
-        record.note(f"usual clients: {sum(client.answered for client in usual)} answers")
+            for server in second:
+                server.accept()
+        late = len(clients)  # Each limiter makes one attempt at a second server.
+        record.note(f"connections to servers: {connections} on time, at most {late} late")
+        if 3 * late > connections + late:
+            raise CannotRunError("more than a third of the connections are late")
+        for client in clients:
+            client.wait_for(WARM_UP + 1, DEADLINE)
+            record.note(f"limiter {clients.index(client)} answered: {client.answers[WARM_UP:]}")
     finally:
-        for flood in floods:
-            flood.kill()
-            flood.wait()
         fleet.stop()
-    return held
-
-
-def watch_memory(record: Record, fleet: Fleet, end: float) -> bool:
-    """Act as the platform, which kills a limiter over `memory_mb`; return whether it never had to."""
-    process = fleet.processes[VICTIM]
-    limit_kib = LIMITS["memory_mb"] * 1024
-    peak = 0
-    noted_at = 0.0
-    while monotonic() < end:
-        status = read_status(process.pid)
-        peak = max(peak, status["RssAnon"])
-        if monotonic() - noted_at > 1:
-            noted_at = monotonic()
-            record.note(
-                f"limiter {VICTIM}: {status['RssAnon']} KiB anonymous of {status['VmRSS']} KiB resident,"
-                f" limit {limit_kib:.0f}; {status['Threads']} threads, {status['descriptors']} descriptors"
-            )
-        if status["RssAnon"] > limit_kib:
-            record.note(f"limiter {VICTIM}: {status['RssAnon']} KiB is over {limit_kib:.0f}: killed")
-            process.kill()
-            return False
-        sleep(0.05)
-    record.note(f"limiter {VICTIM}: at most {peak} KiB anonymous, limit {limit_kib:.0f}")
-    return True
-
-
-def read_status(pid: int) -> dict[str, int]:
-    """Return figures of a process from /proc: sizes in KiB, and the number of its threads and descriptors."""
-    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
-    fields = dict(line.split(":", 1) for line in lines)
-    figures = {name: int(fields[name].split()[0]) for name in ("RssAnon", "VmRSS", "Threads")}
-    return {**figures, "descriptors": len(list(Path(f"/proc/{pid}/fd").iterdir()))}
-
-
-class UsualClient:
-    """A sound client that sends a request every half second, on a connection that it keeps."""
-
-    def __init__(self, fleet: Fleet, number: int, end: float) -> None:
-        self.fleet = fleet
-        self.number = number
-        self.end = end
-        self.answered = 0
-
-    def run(self) -> None:
-        """Send requests until the end."""
-        client: Client | None = None
-        while monotonic() < self.end:
-            with contextlib.suppress(OSError):
-                if client is None or client.ended_at is not None:
-                    client = Client(self.fleet, VICTIM)
-                fields = b"c=grid-fetch,t=national,d=4000,units=1,spread=3,first=0"
-                count = len(client.answers)
-                client.send(encode(b"CALL.GET", b"%016x" % (100 + self.number), b"%016x" % next(IDS), fields))
-                self.answered += client.wait_for(count + 1, 4.0)
-            sleep(0.5)
-
-
-def start_flood(port: int) -> subprocess.Popen[bytes]:
-    """Start a process that plays a part of the bad clients."""
-    return subprocess.Popen([sys.executable, "-B", __file__, "flood", str(port)])
-
-
-def flood(port: int) -> None:
-    """Play a part of the bad clients, each in a thread, for SECONDS at most."""
-    for _ in range(BAD_CLIENTS // BAD_PROCESSES):
-        threading.Thread(target=play_bad_client, args=(port,), daemon=True).start()
-    sleep(SECONDS)
-
-
-def play_bad_client(port: int) -> None:
-    """Send half a command, stay and read; once turned away, do the same again."""
-    sleep(random.uniform(0, START_SECONDS))
-    key = b"%016x" % random.getrandbits(64)
-    fields = b"c=solve-submit,t=national,d=8000,k=%b,units=1,spread=3,first=0" % key
-    command = encode(b"CALL.POST", b"%016x" % 7, key, fields, b"x" * 64 * 1024)
-    while True:
-        try:
-            with socket.create_connection(("127.0.0.1", port), timeout=10) as connection:
-                connection.sendall(command[:HALF])
-                while connection.recv(4096):
-                    pass
-        except OSError:
-            sleep(0.05)
+    return judge(record, halls)
+
+
+def warm_up(record: Record, clients: list[Client], servers: list[Server]) -> int:
+    """Have the limiters open connections; return how many there are."""
+    for index, client in enumerate(clients):
+        for number in range(WARM_UP):
+            request_id = b"%016x" % (1000 * (index + 1) + number)
+            fields = b"c=grid-fetch,t=national,d=4000,units=1,spread=3,first=0"
+            client.send(encode(b"CALL.GET", b"%016x" % (100 + number), request_id, fields))
+    for client in clients:
+        if not client.wait_for(WARM_UP, 5):
+            raise CannotRunError("the first requests are not answered")
+    sleep(0.5)
+    return sum(len(server.connections) for server in servers)
+
+
+def send_submits(record: Record, clients: list[Client]) -> None:
+    """Send a tokened request to each limiter."""
+    for index, client in enumerate(clients):
+        key = b"key-%d" % index
+        fields = b"c=solve-submit,t=national,d=8000,k=%b,units=1,spread=3,first=0" % key
+        client.send(encode(b"CALL.POST", b"%016x" % (100 + index), b"%016x" % (1 + index), fields, b"body"))
+        record.note(f"client sends {key.decode()} to limiter {index}")
+
+
+def judge(record: Record, halls: Halls) -> bool:
+    """Return whether every attempt of a key arrived within the window of its first one."""
+    if len(halls.arrivals) < len(HALLS):
+        raise CannotRunError("not every tokened request was sent to a server")
+    late = 0
+    for key, arrivals in sorted(halls.arrivals.items()):
+        ages = [round(at - arrivals[0], 3) for at in arrivals]
+        record.note(f"{key.decode()}: attempts after {ages} s, run {len(halls.runs[key])} times")
+        late += ages[-1] > WINDOW + SLACK
+    record.note(f"keys sent again after the window of {WINDOW} s: {late}")
+    return late == 0
 
 
 if __name__ == "__main__":
-    if sys.argv[1:2] == ["flood"]:
-        flood(int(sys.argv[2]))
-    else:
-        run_case(__file__, play)
+    run_case(__file__, play)
