Responses that wait for an earlier one no longer close their connection as a slow reader

Cause: when a completed response did not fit into the stream's buffer, the completed responses behind it were taken for bytes that the client leaves unread, without any time.

Change: a stream knows since when its peer has read nothing; a client is a slow reader after 1 s without progress and with more readable bytes than its limit. The memory of all responses is freed by the client that is blocked longest, else the waiting response becomes a failure. The fakes of test_routing moved to routing_harness.py, as a second test file uses them.

--- a/brookhub/program/limits.py
+++ b/brookhub/program/limits.py
@@ -26,6 +26,7 @@
 
 # Clients
 CLIENT_WRITE_TIMEOUT = 20.0  # A client that leaves its responses unread for longer is disconnected.
+SLOW_READER_TIMEOUT = 1.0  # The same for one with more than CLIENT_UNREAD_SHARE of the memory unread.
 FIRST_REQUEST_TIMEOUT = 2.0  # A connection without a complete command is closed after this time.
 CLIENT_IDLE_TIMEOUT = 4.0  # A connection without an open request is closed after this time.
 LINGER_TIME = 1.0  # Time for a client to read the end of its connection.
@@ -100,6 +101,7 @@
         max_unread_bytes_per_client=int(start.memory_bytes * CLIENT_UNREAD_SHARE),
         max_unread_bytes=int(start.memory_bytes * UNREAD_SHARE),
         write_timeout=CLIENT_WRITE_TIMEOUT,
+        slow_reader_timeout=SLOW_READER_TIMEOUT,
         linger_time=LINGER_TIME,
         first_request_timeout=FIRST_REQUEST_TIMEOUT,
         idle_timeout=CLIENT_IDLE_TIMEOUT,
--- a/brookhub/routing/client_connection.py
+++ b/brookhub/routing/client_connection.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections import deque
+from itertools import islice, takewhile
 from time import monotonic
 from typing import Protocol
 
@@ -61,8 +62,14 @@
     def on_all_responses_written(self, connection: ClientConnection) -> None:
         """Handle a connection that has no open request any more."""
 
-    def exceeds_memory_limits(self, connection: ClientConnection) -> bool:
-        """Return whether the responses that the client does not read take too much memory."""
+    def on_response_waiting(self, response: PendingResponse) -> None:
+        """Limit the memory of responses, as this one waits for earlier ones or for its client."""
+
+    def on_write_blocked(self, connection: ClientConnection) -> None:
+        """Handle a connection whose stream has no space for the next response."""
+
+    def on_write_resumed(self, connection: ClientConnection) -> None:
+        """Handle a connection whose stream has space again."""
 
     def disconnect(self, connection: ClientConnection, reason: CloseReason) -> None:
         """Close the connection at once."""
@@ -89,7 +96,7 @@
         # Seconds for which received bytes may have stayed unread because this process was suspended.
         self.suspension_delay = 0.0
         self.is_closing = False  # No further commands are read.
-        self.is_closed = False
+        self.is_closed = False  # Closed, or about to be aborted: no further responses are written.
         self._owner = owner
         self._reader = resp.RespReader()
         self._responses_written = 0
@@ -197,10 +204,14 @@
             owner.disconnect(self, CloseReason.DEADLINE_PASSED)
             return
         self._write_responses()
+        if response.parts:
+            owner.on_response_waiting(response)
 
     def _write_responses(self) -> None:
         """Pass completed responses to the stream, in the order of their requests."""
-        self._is_write_blocked = False
+        if self._is_write_blocked:
+            self._is_write_blocked = False
+            self._owner.on_write_resumed(self)
         responses = self.pending_responses
         while responses and not self.is_closed:
             response = responses[0]
@@ -208,8 +219,7 @@
                 break
             if not self._enqueue(response.parts):
                 self._is_write_blocked = True
-                if self._owner.exceeds_memory_limits(self):
-                    self._owner.loop.defer(self.stream.abort, CloseReason.SLOW_READER)
+                self._owner.on_write_blocked(self)
                 break
             responses.popleft()
             self._owner.on_response_written(response)
@@ -231,7 +241,6 @@
 
     def on_closed(self) -> None:
         """Finish the open requests, after the connection was closed and its descriptor released."""
-        self.is_closed = True
         self._owner.on_closed(self)
         self.pending_responses.clear()
 
@@ -239,6 +248,23 @@
         """Return the total size of the completed responses that are not yet fully passed to the stream."""
         return sum(response.size_bytes for response in self.pending_responses)
 
+    def blocked_bytes(self) -> int:
+        """Return the size of the responses that the client has to read before further ones can be written.
+
+        These are the completed responses up to the first one that is not complete. The one that is being
+        written does not count.
+        """
+        readable = takewhile(PendingResponse.is_complete, self.pending_responses)
+        return sum(response.size_bytes for response in islice(readable, 1, None))
+
+    def discard_responses(self) -> int:
+        """Free all completed responses of a closed connection and return their total size."""
+        self.is_closed = True
+        size = self.pending_bytes()
+        for response in self.pending_responses:
+            response.discard()
+        return size
+
     # Without the lock
 
     def _on_drained(self) -> None:
--- a/brookhub/routing/client_request.py
+++ b/brookhub/routing/client_request.py
@@ -37,6 +37,25 @@
             self.size_bytes = sum(map(len, parts))
             self.connection.on_response_completed(self)
 
+    def is_complete(self) -> bool:
+        """Return whether the response is set."""
+        return self.parts is not None
+
+    def replace(self, *parts: bytes | bytearray) -> None:
+        """Replace a completed response of which nothing was written yet. Called under the lock."""
+        self.parts = deque(parts)
+        self.size_bytes = sum(map(len, parts))
+
+    def is_partly_written(self) -> bool:
+        """Return whether some, but not all, bytes of a completed response were passed to the stream."""
+        return self.parts is not None and sum(map(len, self.parts)) < self.size_bytes
+
+    def discard(self) -> None:
+        """Free the parts of a completed response whose connection is closed. Called under the lock."""
+        if self.parts is not None:
+            self.parts.clear()
+        self.size_bytes = 0
+
 
 @dataclass(eq=False)
 class ClientRequest(Request):
--- a/brookhub/routing/client_table.py
+++ b/brookhub/routing/client_table.py
@@ -17,13 +17,14 @@
 class ClientTable:
     """All open connections of clients. Guarded by the event loop's lock.
 
-    Each connection is in `connections`, and in at most one of `idle` and `without_command`.
+    Each connection is in `connections`, and in at most one of `idle`, `without_command` and `write_blocked`.
     """
 
     def __init__(self) -> None:
         self.connections: OrderedConnections = {}
         self.idle: OrderedConnections = {}  # Connections without an open request.
         self.without_command: OrderedConnections = {}  # Connections that have not sent a complete command.
+        self.write_blocked: OrderedConnections = {}  # Connections without space for their next response.
         # Number of descriptors, including those of closed connections that are not released yet.
         self.open_descriptors = 0
 
@@ -36,6 +37,7 @@
     def remove_connection(self, connection: ClientConnection) -> None:
         """Remove a connection. Its descriptor still counts until it is released."""
         self.connections.pop(connection, None)
+        self.write_blocked.pop(connection, None)
         self.mark_active(connection)
 
     def mark_active(self, connection: ClientConnection) -> None:
@@ -70,6 +72,18 @@
             return silent
         return self.find_oldest(self.idle, now) or silent
 
+    def find_longest_blocked(self, blocked_by: float) -> ClientConnection | None:
+        """Return the connection whose client has read nothing for the longest time, or None.
+
+        Only clients that have read nothing since `blocked_by` (seconds, monotonic) or longer are considered.
+        """
+        longest = None
+        for connection in self.write_blocked:
+            blocked_since = connection.stream.blocked_since
+            if blocked_since is not None and blocked_since <= blocked_by:
+                longest, blocked_by = connection, blocked_since
+        return longest
+
     def find_oldest(self, candidates: OrderedConnections, now: float) -> ClientConnection | None:
         """Return the oldest connection that may be closed, or None.
 
--- a/brookhub/routing/clients.py
+++ b/brookhub/routing/clients.py
@@ -23,8 +23,12 @@
 from .suspension import SuspensionDetector
 
 CHECKS_PER_TIMEOUT = 8  # Number of checks for stale connections during one `first_request_timeout`.
-# Multiple of `max_unread_bytes` above which clients that do not read their responses are disconnected.
+# Multiple of `max_unread_bytes` above which clients that do not read their responses are disconnected, and
+# further responses that cannot be written at once are replaced by failures.
 MEMORY_OVERRUN = 1.5
+# Seconds without progress after which a client may be disconnected to free memory: the kernel's buffers are
+# full for a shorter time when a client that reads gets large responses.
+MIN_BLOCKED_TIME = 0.25
 
 
 @dataclass(frozen=True)
@@ -34,9 +38,10 @@
     max_connections: int
     spare_connections: int  # Additional connections while evicted ones are being closed.
     max_open_requests: int
-    max_unread_bytes_per_client: int  # Maximum size of the responses queued after the one being written.
+    max_unread_bytes_per_client: int  # Limit of the responses behind the one that a client does not read.
     max_unread_bytes: int  # Maximum size of all responses and open requests of all clients.
     write_timeout: float  # Maximum time for which a client may leave its responses unread.
+    slow_reader_timeout: float  # Maximum time without progress above `max_unread_bytes_per_client`.
     linger_time: float  # Time between the graceful shutdown of a connection and its abort.
     first_request_timeout: float  # Maximum time from accept to the first complete command.
     idle_timeout: float  # Maximum time without an open request.
@@ -142,6 +147,7 @@
     def disconnect(self, connection: ClientConnection, reason: CloseReason) -> None:
         """Close a connection at once; its client is expected to send further commands on another one."""
         connection.is_closing = True
+        self.usage.response_bytes -= connection.discard_responses()
         self.table.remove_connection(connection)
         self.loop.defer(connection.stream.abort, reason)
 
@@ -160,7 +166,7 @@
         self.table.remove_connection(connection)
         # Before the requests fail: responses to a closed connection are not counted, so they must not be
         # subtracted.
-        self.usage.response_bytes -= connection.pending_bytes()
+        self.usage.response_bytes -= connection.discard_responses()
         self.fail_requests_of(connection)
 
     # Periodic checks
@@ -179,7 +185,7 @@
             self.loop.defer(self.loop.log_suspension, duration)
 
     def close_stale_connections(self) -> None:
-        """Close connections without a first command in time, and idle ones. Reschedules itself by a timer."""
+        """Close connections whose clients send or read too slowly, and idle ones. Reschedules itself."""
         self.check_suspension()
         self._suspension.record_check(self.loop.now)
         self.loop.call_later(self._check_interval, self.close_stale_connections)
@@ -189,6 +195,9 @@
         )
         if not self._is_shutting_down:
             self._close_older_than(limits.idle_timeout, self.table.idle, CloseReason.IDLE_TIMEOUT)
+        for connection in list(self.table.write_blocked):
+            if self._is_slow_reader(connection):
+                self.disconnect(connection, CloseReason.SLOW_READER)
 
     def _close_older_than(self, timeout: float, connections: OrderedConnections, reason: CloseReason) -> None:
         now = self.loop.now
@@ -262,12 +271,42 @@
         else:
             self.table.mark_idle(connection, self.loop.now)
 
-    def exceeds_memory_limits(self, connection: ClientConnection) -> bool:
-        """Return whether the responses that a client does not read exceed a memory limit."""
-        if self.usage.response_bytes > MEMORY_OVERRUN * self.limits.max_unread_bytes:
-            return True
-        waiting_bytes = connection.pending_bytes() - connection.pending_responses[0].size_bytes
-        return waiting_bytes > self.limits.max_unread_bytes_per_client
+    # Memory of responses
+
+    def on_write_blocked(self, connection: ClientConnection) -> None:
+        """Record that a connection's stream has no space for the next response."""
+        self.table.write_blocked[connection] = None
+
+    def on_write_resumed(self, connection: ClientConnection) -> None:
+        """Record that a connection's stream has space again."""
+        self.table.write_blocked.pop(connection, None)
+
+    def _is_slow_reader(self, connection: ClientConnection) -> bool:
+        """Return whether a client leaves more responses unread, and for longer, than its limits allow.
+
+        Responses that wait for an earlier one do not count: the client cannot read them yet.
+        """
+        blocked_since = connection.stream.blocked_since
+        if blocked_since is None or self.loop.now - blocked_since < self.limits.slow_reader_timeout:
+            return False
+        return connection.blocked_bytes() > self.limits.max_unread_bytes_per_client
+
+    def on_response_waiting(self, response: PendingResponse) -> None:
+        """Limit the memory of all responses, as this one waits for earlier ones or for its client.
+
+        The clients that have read nothing for the longest time are disconnected. If that does not free enough
+        memory, the response is replaced by a failure: its client is owed an answer, whatever others hold.
+        """
+        limit = MEMORY_OVERRUN * self.limits.max_unread_bytes
+        while self.usage.response_bytes > limit:
+            connection = self.table.find_longest_blocked(self.loop.now - MIN_BLOCKED_TIME)
+            if connection is None:
+                break
+            self.disconnect(connection, CloseReason.SLOW_READER)
+        if self.usage.response_bytes > limit and not response.is_partly_written():
+            self.usage.response_bytes -= response.size_bytes
+            response.replace(request_codec.ENCODED_FAILURE)
+            self.usage.response_bytes += response.size_bytes
 
     # Graceful shutdown
 
--- a/brookhub/transport/stream.py
+++ b/brookhub/transport/stream.py
@@ -7,6 +7,7 @@
 import sys
 from collections.abc import Callable
 from threading import Lock
+from time import monotonic
 
 from .close_reason import CloseReason
 from .ring_buffer import RingBuffer
@@ -31,8 +32,9 @@
     the kernel accepts at once. The rest is written by a temporary thread.
 
     `lock` guards `outbound`, `bytes_queued`, `close_reason`, `shutdown_reason` and `is_flushing`. Only the
-    thread that has set `is_flushing` changes `bytes_maybe_written` and `bytes_written`. The counts and
-    reasons may be read without the lock. The owner of the stream closes `sock` by calling `close`.
+    thread that has set `is_flushing` changes `bytes_maybe_written`, `bytes_written` and `blocked_since`. The
+    counts, times and reasons may be read without the lock. The owner of the stream closes `sock` by calling
+    `close`.
     """
 
     __slots__ = (
@@ -47,6 +49,7 @@
         "bytes_queued",
         "bytes_maybe_written",
         "bytes_written",
+        "blocked_since",
     )
 
     def __init__(
@@ -64,6 +67,9 @@
         self.bytes_queued = 0
         self.bytes_maybe_written = 0  # Bytes that the kernel may have accepted.
         self.bytes_written = 0  # Bytes that the kernel has accepted.
+        # Monotonic time in seconds since which the kernel has accepted no queued byte because the peer does
+        # not read; None if it accepts all.
+        self.blocked_since: float | None = None
 
     # Reading
 
@@ -202,6 +208,7 @@
     def _stop_flushing_locked(self) -> None:
         """Mark flushing as ended, and shut the sending side down if that was requested. Needs the lock."""
         self.is_flushing = False
+        self.blocked_since = None
         if self.shutdown_reason and not self.close_reason:
             self._shutdown_socket(socket.SHUT_WR)
 
@@ -218,6 +225,8 @@
             self.bytes_maybe_written = self.bytes_written
             self.abort(CloseReason.RESET)
             return False
+        if self.blocked_since is not None:
+            self.blocked_since = monotonic()
         with self.lock:
             self.outbound.consume(length)
             self.bytes_written += length
@@ -228,7 +237,9 @@
         """Continue in a thread with blocking writes, or abort if a blocking write has timed out."""
         if not flags:  # This was a blocking write, and the socket's write timeout has passed.
             self.abort(CloseReason.SLOW_READER)
-        elif not start_thread(self._write_queued, 0):
+            return
+        self.blocked_since = monotonic()
+        if not start_thread(self._write_queued, 0):
             self.abort(CloseReason.NO_THREAD)
 
     # Closing
--- /dev/null
+++ b/tests/routing_harness.py
@@ -0,0 +1,92 @@
+"""Fakes for tests of routing without sockets: streams and a gateway that record, and a simulated clock."""
+
+from brookhub.protocol import resp
+from brookhub.routing.clients import ClientLimits
+from brookhub.transport.ring_buffer import RingBuffer
+
+
+class RecordingStream:
+    """Fake stream that records the data enqueued, the bytes written and the reason it was closed."""
+
+    def __init__(self) -> None:
+        self.enqueued = []
+        self.bytes_queued = 0
+        self.bytes_maybe_written = 0
+        self.close_reason = None
+        self.is_full = False
+        self.blocked_since = None
+        self.inbound = RingBuffer(resp.BUFFER_BYTES)
+        self.unread = b""
+
+    def enqueue_part(self, data):
+        return len(data) if self.enqueue(bytes(data)) else 0
+
+    def enqueue(self, data):
+        if self.is_full:
+            return False
+        self.enqueued.append(data)
+        self.bytes_queued += len(data)
+        return True
+
+    def flush(self):
+        if not self.close_reason:
+            self.bytes_maybe_written = self.bytes_queued
+
+    def may_be_fully_written(self):
+        return self.bytes_maybe_written >= self.bytes_queued
+
+    def abort(self, reason):
+        self.close_reason = self.close_reason or reason
+
+    def shutdown_gracefully(self, reason):
+        self.close_reason = self.close_reason or reason
+
+    def is_idle(self):
+        return not self.unread
+
+    def read_available(self, wanted):
+        data, self.unread = self.unread, b""
+        return self.inbound.append(data)
+
+
+class RecordingGateway:
+    """Fake gateway that records the events that it receives."""
+
+    def __init__(self) -> None:
+        self.ended_attempts, self.server_updates = [], []
+
+    def on_attempt_ended(self, attempt, duration, answered, charged_units, used_units, load_report):
+        self.ended_attempts.append((attempt, attempt.outcome, answered))
+
+    def on_servers_updated(self, servers):
+        self.server_updates.append([(server.id, server.state) for server in servers])
+
+
+LIMITS = ClientLimits(
+    max_connections=9,
+    spare_connections=1,
+    max_open_requests=9,
+    max_unread_bytes_per_client=9999,
+    max_unread_bytes=9999,
+    write_timeout=9.0,
+    slow_reader_timeout=2.0,
+    linger_time=1.0,
+    first_request_timeout=2.0,
+    idle_timeout=4.0,
+)
+
+
+def run_event(port, event, *arguments, after=0.0):
+    port.run(port.now + after, event, *arguments)
+
+
+def advance(port, seconds):
+    """Advance the clock, and run the timers that are due as the timer thread would."""
+    end = port.now + seconds
+    while (due_at := port.timers.next_due_at()) <= end:
+        port.run(due_at, port.timers.pop_next())
+    port.now = end
+
+
+def command_words(request_id, fields=b"c=look,t=wide,d=2000,units=1,spread=1,first=0"):
+    return [b"CALL.GET", b"%016x" % 7, b"%016x" % request_id, fields]
