An idle connection whose last response is not written yet is not evicted or closed

Cause: a connection counts as idle once its last response is in the stream's buffer. The bytes are written after the event loop's lock is released, or later if the client reads slowly; an eviction or the idle timeout in between aborted the stream and dropped the answer.

Change: ClientTable.find_oldest skips a connection with unwritten bytes, as it does one with unread bytes.

Measured: the new test fails before and passes now.

--- a/brookhub/routing/client_table.py
+++ b/brookhub/routing/client_table.py
@@ -88,11 +88,13 @@
         """Return the oldest connection that may be closed, or None.
 
         Only the first MAX_CANDIDATES are examined. A connection whose thread has not yet read bytes that the
-        client sent is not closed: it moves to the end and its idle time restarts, unless a command was
-        already partly read.
+        client sent is not closed, unless a command was already partly read; nor is one whose last response is
+        not written yet. Both move to the end and their idle time restarts.
         """
         for connection in list(islice(candidates, MAX_CANDIDATES)):
-            if len(connection.stream.inbound) or not connection.stream.has_unread_bytes():
+            stream = connection.stream
+            is_read = len(stream.inbound) > 0 or not stream.has_unread_bytes()
+            if is_read and not stream.has_unwritten_bytes():
                 return connection
             del candidates[connection]
             candidates[connection] = None
--- a/brookhub/transport/stream.py
+++ b/brookhub/transport/stream.py
@@ -175,6 +175,10 @@
         """Return whether the last queued byte may have been written; False means that it has not been."""
         return self.bytes_maybe_written >= self.bytes_queued
 
+    def has_unwritten_bytes(self) -> bool:
+        """Return whether the kernel has not accepted all queued bytes yet."""
+        return self.bytes_written < self.bytes_queued
+
     def flush(self) -> None:
         """Write the bytes that the kernel accepts at once, and start a thread that writes the rest."""
         with self.lock:
--- a/tests/routing_harness.py
+++ b/tests/routing_harness.py
@@ -11,7 +11,7 @@
     def __init__(self) -> None:
         self.enqueued = []
         self.bytes_queued = 0
-        self.bytes_maybe_written = 0
+        self.bytes_maybe_written = self.bytes_written = 0
         self.close_reason = None
         self.is_full = False
         self.blocked_since = None
@@ -30,7 +30,13 @@
 
     def flush(self):
         if not self.close_reason:
-            self.bytes_maybe_written = self.bytes_queued
+            self.bytes_maybe_written = self.bytes_written = self.bytes_queued
+
+    def has_unwritten_bytes(self):
+        return self.bytes_written < self.bytes_queued
+
+    def has_unread_bytes(self):
+        return bool(self.unread)
 
     def may_be_fully_written(self):
         return self.bytes_maybe_written >= self.bytes_queued
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -399,7 +399,6 @@
     def connect(sends_command):
         client = ClientConnection(clients, None)
         client.stream = RecordingStream()
-        client.stream.has_unread_bytes = lambda: bool(client.stream.unread)
         run_event(port, clients.admit, client)
         if sends_command:
             run_event(port, client.on_commands, [PING], None)
@@ -424,6 +423,31 @@
     assert first.stream.close_reason == "draining" and first.stream.enqueued[-1] == resp.PONG
 
 
+def test_idle_client_whose_response_is_not_written_yet_is_not_evicted_or_closed(port):
+    limits = replace(LIMITS, max_connections=2, spare_connections=9)
+    clients = Clients(port, lambda *_: None, DEFAULT_SETTINGS, lambda: True, limits)
+    clients.start = lambda client: None
+
+    def connect(is_written):
+        client = ClientConnection(clients, None)
+        client.stream = RecordingStream()
+        if not is_written:
+            client.stream.flush = lambda: None  # The flush is deferred until the lock is released.
+        run_event(port, clients.admit, client)
+        run_event(port, client.on_commands, [PING], None)
+        return client
+
+    unwritten, written = connect(False), connect(True)
+    connect(True)  # Evicts another connection.
+    assert (unwritten.stream.close_reason, written.stream.close_reason) == (None, "evicted")
+    run_event(port, clients.close_stale_connections)
+    advance(port, 5.0)
+    assert unwritten.stream.close_reason is None
+    unwritten.stream.bytes_written = unwritten.stream.bytes_queued
+    advance(port, 5.0)
+    assert unwritten.stream.close_reason == "idle-timeout"
+
+
 def connected_counter(port, connections=2):
     counter = CounterClient(port, reconnector, 0.08, connections, 1.0)
     run_event(port, counter.set_address, ("127.0.0.1", 1))
