The deduplication window and the deadline are checked when an attempt is written

Cause: they were checked when the server was chosen.

Change: one rule of the policy, write_deadline, for the moment of the write; a write that is not complete by then is stopped. The window ends 0.15 s early, as a limiter may be held up for that long. The fakes that two test files share moved to routing_harness.py and conftest.py.

--- a/brookhub/policy/constants.py
+++ b/brookhub/policy/constants.py
@@ -209,6 +209,10 @@
 SLOW_ATTEMPT_SHARE = 0.5
 """Share of the latency target after which an attempt is slow and another server may answer sooner."""
 
+WRITE_DELAY_MARGIN_S = 0.15
+"""Seconds by which the last byte of an attempt may be written later than the clock was read: the process may
+be held up in between."""
+
 NEVER_RAN = (Outcome.BUSY, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 """Outcomes that prove that the request was not executed."""
 
--- a/brookhub/policy/gateway.py
+++ b/brookhub/policy/gateway.py
@@ -23,6 +23,7 @@
 from .plan_limits import PlanLimits
 from .quota import QuotaFilter, QuotaLedger
 from .quota_estimate import QuotaEstimator
+from .repeat_safety import write_deadline
 from .request_queue import RequestQueue
 from .retries import RetryPolicy
 from .server_selection import ServerSelector
@@ -99,6 +100,10 @@
         if request.pending:
             self.upstreams.abort_request(request.pending, client_left=True)
 
+    def write_deadline(self, attempt: Attempt) -> float:
+        """Return the time before which a chosen attempt has to be written; -inf: it must not be written."""
+        return write_deadline(attempt)
+
     def on_response_started(self, attempt: Attempt, duration: float) -> None:
         """Record that a server's answer began, `duration` seconds after the attempt was sent."""
         if attempt.request.pending:
--- a/brookhub/policy/repeat_safety.py
+++ b/brookhub/policy/repeat_safety.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from ..model import Attempt, PendingRequest, Server
+from math import inf
+
+from ..model import Attempt, PendingRequest, Server, ServerState
 from ..site import DeduplicationScope, Idempotency, Route
-from .constants import NEVER_RAN
+from .constants import NEVER_RAN, WRITE_DELAY_MARGIN_S
 
 
 def attempts_that_may_have_run(pending: PendingRequest) -> list[Attempt]:
@@ -13,23 +15,50 @@
 
 
 def may_repeat_at(server: Server, route: Route, may_have_run: list[Attempt], now: float) -> bool:
-    """Return whether a further attempt of a request may be sent to a server.
+    """Return whether a further attempt of a request may be sent to a server now (see `repeat_deadline`)."""
+    return now < repeat_deadline(server, route, may_have_run)
+
+
+def repeat_deadline(server: Server, route: Route, may_have_run: list[Attempt]) -> float:
+    """Return the time in seconds before which a further attempt has to be written to a server.
 
-    `may_have_run`: earlier attempts of the request that may have been executed, oldest first. A request with
-    an idempotency key may only be repeated within its deduplication scope and window.
+    It is -inf if the server must not get the request at all. `may_have_run`: other attempts of the request
+    that may have been executed, oldest first. A request with an idempotency key may only be repeated within
+    its deduplication scope and window, in which its last byte has to reach the server.
     """
     if not may_have_run or route.idempotency is Idempotency.IDEMPOTENT:
-        return True
+        return inf
     if route.idempotency is Idempotency.NON_IDEMPOTENT:
-        return False
+        return -inf
     first = may_have_run[0]
-    if now >= first.sent_at + route.deduplication_window:
-        return False
-    if route.deduplication_scope is DeduplicationScope.ALL:
+    if not is_in_deduplication_scope(server, first.server, route.deduplication_scope):
+        return -inf
+    return first.sent_at + route.deduplication_window - WRITE_DELAY_MARGIN_S
+
+
+def is_in_deduplication_scope(server: Server, first: Server, scope: DeduplicationScope) -> bool:
+    """Return whether a server drops repeats of a request that was sent to the server `first` before."""
+    if scope is DeduplicationScope.ALL:
         return True
-    if route.deduplication_scope is DeduplicationScope.ZONE:
-        return server.zone == first.server.zone
-    return server.cell == first.server.cell
+    if scope is DeduplicationScope.ZONE:
+        return server.zone == first.zone
+    return server.cell == first.cell
+
+
+def write_deadline(attempt: Attempt) -> float:
+    """Return the time in seconds before which a chosen attempt has to be written to its server.
+
+    It is -inf if the attempt must not be written any more. The server was chosen when the attempt began; the
+    write may come much later, as a connection may have to be established first. By then the request may be
+    answered, the server may be draining, and the deduplication window may be over.
+    """
+    request = attempt.request
+    if request.pending is None or attempt.outcome is not None:
+        return -inf
+    if attempt.server.state is not ServerState.READY:
+        return -inf
+    others = [other for other in request.attempts if other is not attempt and other.outcome not in NEVER_RAN]
+    return min(request.deadline, repeat_deadline(attempt.server, request.route, others))
 
 
 def is_safe_anywhere(route: Route) -> bool:
--- a/brookhub/routing/port.py
+++ b/brookhub/routing/port.py
@@ -48,6 +48,12 @@
         values that the server sent.
         """
 
+    def write_deadline(self, attempt: Attempt, /) -> float:
+        """Return the time before which an attempt has to be written to its server.
+
+        In seconds, monotonic; -inf if it must not be written any more.
+        """
+
     def on_servers_updated(self, servers: Iterable[Server], /) -> None:
         """Handle changes of these servers in the server list."""
 
--- a/brookhub/routing/upstreams.py
+++ b/brookhub/routing/upstreams.py
@@ -203,7 +203,7 @@
         elif connection.server.state is not ServerState.READY:  # It stopped being ready while connecting.
             self._discard(connection, CloseReason.SERVER_DRAINING)
             self.port.end_attempt(attempt, Outcome.NOT_SENT)
-        elif attempt.request.pending is None:  # Its request has its final answer already.
+        elif self.port.now >= self._write_deadline(connection, attempt):
             self._release(connection, attempt)
             self.port.end_attempt(attempt, Outcome.NOT_SENT)
         else:
@@ -281,8 +281,18 @@
         connection.deadline = deadline
         self.in_flight[attempt] = connection
 
+    def _write_deadline(self, connection: UpstreamConnection, attempt: Attempt) -> float:
+        """Return the time before which the attempt that is assigned to a connection has to be written."""
+        return min(connection.deadline, self.port.gateway.write_deadline(attempt))
+
     def _write_attempt(self, connection: UpstreamConnection, attempt: Attempt) -> None:
-        """Write the attempt that is assigned to a connection."""
+        """Write the attempt that is assigned to a connection.
+
+        If the server's side does not take all of it in time, the connection is closed before the last byte.
+        """
+        deadline = self._write_deadline(connection, attempt)
+        if deadline < connection.deadline:  # At its own deadline the attempt times out in any case.
+            self.port.call_later(deadline - self.port.now, lambda: self._stop_writing(connection, attempt))
         stream = connection.stream
         assert stream is not None
         request = cast(ClientRequest, attempt.request)
@@ -290,6 +300,15 @@
         stream.enqueue(request.parsed.encode_for_server(connection.deadline - self.port.now))
         self.port.defer(stream.flush)
 
+    def _stop_writing(self, connection: UpstreamConnection, attempt: Attempt) -> None:
+        """Close a connection whose attempt is not fully written at its write deadline.
+
+        The attempt ends in `on_disconnected`: only then is it certain whether its last byte was written.
+        """
+        stream = connection.stream
+        if connection.attempt is attempt and stream is not None and not stream.may_be_fully_written():
+            self.port.defer(connection.close, CloseReason.CANCELLED)
+
     def _read_available(self, connection: UpstreamConnection, stream: Stream) -> int:
         """Read available bytes directly into the buffer that needs them; return the number of bytes."""
         buffer = connection.reader.value_buffer()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,8 +12,14 @@
 import pytest
 
 from brookhub.experiments.processes import ProcessFleet
+from brookhub.routing import counter as counter_module
+from brookhub.routing import discovery as discovery_module
+from brookhub.routing import upstreams as upstreams_module
+from brookhub.routing.port import SocketGatewayPort
+from brookhub.routing.upstreams import UpstreamConnections
 from gateway_program import Program
 from process_fleet import experiment, run_script_under_load
+from routing_harness import UPSTREAM_SETTINGS, RecordingGateway
 
 KNOWN_FAILURES_FILE = Path(__file__).parent.parent / "KNOWN-RED.txt"
 MAX_KNOWN_FAILURES = 3
@@ -106,3 +112,18 @@
     yield run
     for fleet in fleets:
         fleet.close()
+
+
+@pytest.fixture
+def port(monkeypatch):
+    """Provide a port that dials no server: `dialled` has its connections, which the test establishes."""
+    errors, dialled = [], []
+    monkeypatch.setattr(upstreams_module, "start_thread", lambda work: dialled.append(work.__self__) or True)
+    for module in (counter_module, discovery_module):
+        monkeypatch.setattr(module, "start_thread_with_retry", lambda port, work: None)
+    new_port = SocketGatewayPort(errors.append, 0.0)
+    new_port.gateway, new_port.dialled = RecordingGateway(), dialled
+    new_port.upstreams = UpstreamConnections(new_port, lambda *_: None, UPSTREAM_SETTINGS)
+    new_port.start = new_port.now
+    yield new_port
+    assert errors == []
--- a/tests/routing_harness.py
+++ b/tests/routing_harness.py
@@ -1,7 +1,10 @@
 """Fakes for tests of routing without sockets: streams and a gateway that record, and a simulated clock."""
 
+from brookhub.model import Server
+from brookhub.policy.repeat_safety import write_deadline
 from brookhub.protocol import resp
 from brookhub.routing.clients import ClientLimits
+from brookhub.routing.upstreams import UpstreamSettings
 from brookhub.transport.ring_buffer import RingBuffer
 
 
@@ -64,6 +67,9 @@
     def on_attempt_ended(self, attempt, duration, answered, charged_units, used_units, load_report):
         self.ended_attempts.append((attempt, attempt.outcome, answered))
 
+    def write_deadline(self, attempt):
+        return write_deadline(attempt)
+
     def on_servers_updated(self, servers):
         self.server_updates.append([(server.id, server.state) for server in servers])
 
@@ -96,3 +102,38 @@
 
 def command_words(request_id, fields=b"c=look,t=wide,d=2000,units=1,spread=1,first=0"):
     return [b"CALL.GET", b"%016x" % 7, b"%016x" % request_id, fields]
+
+
+UPSTREAM_SETTINGS = UpstreamSettings(
+    connect_timeout=0.25,
+    idle_timeout=5.0,
+    settle_time=0.003,
+    max_connections=3,
+    max_value_bytes=300_000,
+    max_partial_bytes=500_000,
+)
+
+
+def make_server(port, server_id=1):
+    server = Server(server_id)
+    port.upstreams.update_address(server, ("127.0.0.1", server_id))
+    return server
+
+
+def connect(port, connection):
+    connection.stream = RecordingStream()
+    run_event(port, port.upstreams.on_connected, connection)
+    return connection.stream
+
+
+def start_attempts(port, *requests):
+    attempts = []
+    run_event(
+        port,
+        lambda: attempts.extend(port.start_attempt(request, server, 0.0) for request, server in requests),
+    )
+    return attempts
+
+
+def outcomes(port):
+    return [outcome for _, outcome, _ in port.gateway.ended_attempts]
--- a/tests/test_known_failures.py
+++ b/tests/test_known_failures.py
@@ -11,7 +11,7 @@
 
 TESTS = Path(__file__).parent
 # conftest.py and the modules of this folder that it imports
-COPIED_MODULES = ("conftest.py", "gateway_program.py", "process_fleet.py", "waiting.py")
+COPIED_MODULES = ("conftest.py", "gateway_program.py", "process_fleet.py", "routing_harness.py", "waiting.py")
 SUITE = "def test_red():\n    assert False\n\n\ndef test_green():\n    pass\n"
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -9,17 +9,8 @@
 
 import pytest
 
-from brookhub.model import Customer, Outcome, Request, Server, ServerState
+from brookhub.model import Customer, Outcome, Request, ServerState
 from brookhub.protocol import request_codec, resp, server_list
-from brookhub.routing import (
-    counter as counter_module,
-)
-from brookhub.routing import (
-    discovery as discovery_module,
-)
-from brookhub.routing import (
-    upstreams as upstreams_module,
-)
 from brookhub.routing.client_connection import ClientConnection
 from brookhub.routing.clients import Clients
 from brookhub.routing.connections import Reconnector, ReconnectSettings
@@ -27,38 +18,24 @@
 from brookhub.routing.discovery import DiscoveryClient
 from brookhub.routing.port import SocketGatewayPort
 from brookhub.routing.request_decoder import PING
-from brookhub.routing.upstreams import UpstreamConnections, UpstreamSettings
 from brookhub.site import Plan, Route
 from brookhub.transport.sockets import Listener
 from brookhub.transport.stream import Stream
 from gateway_harness import DEFAULT_SETTINGS
-from routing_harness import LIMITS, RecordingGateway, RecordingStream, advance, command_words, run_event
-
-UPSTREAM_SETTINGS = UpstreamSettings(
-    connect_timeout=0.25,
-    idle_timeout=5.0,
-    settle_time=0.003,
-    max_connections=3,
-    max_value_bytes=300_000,
-    max_partial_bytes=500_000,
+from routing_harness import (
+    LIMITS,
+    UPSTREAM_SETTINGS,
+    RecordingStream,
+    advance,
+    command_words,
+    connect,
+    make_server,
+    outcomes,
+    run_event,
+    start_attempts,
 )
 
 
-@pytest.fixture
-def port(monkeypatch):
-    """Provide a port that dials no server: `dialled` has its connections, which the test establishes."""
-    errors, dialled = [], []
-    monkeypatch.setattr(upstreams_module, "start_thread", lambda work: dialled.append(work.__self__) or True)
-    for module in (counter_module, discovery_module):
-        monkeypatch.setattr(module, "start_thread_with_retry", lambda port, work: None)
-    new_port = SocketGatewayPort(errors.append, 0.0)
-    new_port.gateway, new_port.dialled = RecordingGateway(), dialled
-    new_port.upstreams = UpstreamConnections(new_port, lambda *_: None, UPSTREAM_SETTINGS)
-    new_port.start = new_port.now
-    yield new_port
-    assert errors == []
-
-
 def make_request(port, timeout_s=2.0):
     words = command_words(1)
     request = Request(1, Customer(7, Plan("wide")), Route("look", 1.0, 2.0), port.now + timeout_s)
@@ -69,18 +46,6 @@
     return request
 
 
-def make_server(port, server_id=1):
-    server = Server(server_id)
-    port.upstreams.update_address(server, ("127.0.0.1", server_id))
-    return server
-
-
-def connect(port, connection):
-    connection.stream = RecordingStream()
-    run_event(port, port.upstreams.on_connected, connection)
-    return connection.stream
-
-
 VALUE = b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n"
 
 
@@ -89,19 +54,6 @@
     run_event(port, port.upstreams.on_readable, connection)
 
 
-def start_attempts(port, *requests):
-    attempts = []
-    run_event(
-        port,
-        lambda: attempts.extend(port.start_attempt(request, server, 0.0) for request, server in requests),
-    )
-    return attempts
-
-
-def outcomes(port):
-    return [outcome for _, outcome, _ in port.gateway.ended_attempts]
-
-
 def test_attempt_carries_its_time_left_and_its_connection_is_reused(port):
     server, first, second = make_server(port), make_request(port), make_request(port)
     (attempt,) = start_attempts(port, (first, server))
