Nothing is written to an address that a server has left while a connection came up

Cause: on_connected checked the server's state, not whether the connection still leads to the server's address; such a connection was also returned to the pool of the old address after its attempt.

Change: one check for both, UpstreamConnections._is_current.

--- a/brookhub/routing/upstreams.py
+++ b/brookhub/routing/upstreams.py
@@ -200,7 +200,7 @@
         assert stream is not None
         if connection.close_reason or attempt is None:  # Cancelled while connecting.
             stream.abort(connection.close_reason or CloseReason.CANCELLED)
-        elif connection.server.state is not ServerState.READY:  # It stopped being ready while connecting.
+        elif not self._is_current(connection):  # Its server drained, left or moved while it was connecting.
             self._discard(connection, CloseReason.SERVER_DRAINING)
             self.port.end_attempt(attempt, Outcome.NOT_SENT)
         elif self.port.now >= self._write_deadline(connection, attempt):
@@ -343,12 +343,17 @@
             outcome = Outcome.ERROR
         self.port.end_attempt(attempt, outcome, response)
 
+    def _is_current(self, connection: UpstreamConnection) -> bool:
+        """Return whether a connection's server is ready, and still at the address of the connection."""
+        is_ready = connection.server.state is ServerState.READY
+        return is_ready and self.pools.get(connection.server.id) is connection.pool
+
     def _release(self, connection: UpstreamConnection, attempt: Attempt) -> None:
-        """Return a connection to its pool, or close it if its server is not ready any more."""
+        """Return a connection to its pool, or close it if it is not current any more."""
         del self.in_flight[attempt]
         connection.attempt = None
         connection.idle_since = self.port.now
-        if connection.server.state is not ServerState.READY:
+        if not self._is_current(connection):
             self._discard(connection, CloseReason.SERVER_DRAINING)
         else:
             self.idle[connection] = None
--- a/tests/test_write_deadline.py
+++ b/tests/test_write_deadline.py
@@ -1,6 +1,7 @@
 """Tests of the check right before an attempt is written, which may be long after its server was chosen."""
 
 from math import inf
+from types import SimpleNamespace
 
 import pytest
 
@@ -118,3 +119,24 @@
     port.now += CLIENT_TIMEOUT + 0.1  # The timer thread has not run.
     assert connect(port, port.dialled[0]).enqueued == []
     assert outcomes(port) == [Outcome.NOT_SENT]
+
+
+def test_attempt_is_not_written_to_an_address_that_its_server_has_left(port):
+    server, request = make_server(port), make_request(port.now)
+    start_attempts(port, (request, server))
+    run_event(port, port.upstreams.update_address, server, ("127.0.0.1", 99))
+    stream = connect(port, port.dialled[0])
+    assert stream.enqueued == [] and stream.close_reason == "server-draining"
+    assert outcomes(port) == [Outcome.NOT_SENT] and not port.upstreams.idle
+
+
+def test_connection_whose_server_moved_during_its_attempt_is_closed_after_the_answer(port):
+    server, request = make_server(port), make_request(port.now)
+    request.response = SimpleNamespace(complete=lambda *parts: None)
+    start_attempts(port, (request, server))
+    stream = connect(port, port.dialled[0])
+    run_event(port, port.upstreams.update_address, server, ("127.0.0.1", 99))
+    stream.unread = b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n"
+    run_event(port, port.upstreams.on_readable, port.dialled[0])
+    assert outcomes(port) == [Outcome.OK]
+    assert stream.close_reason == "server-draining" and not port.upstreams.idle
