Connections count until their threads have ended; without a slot none is accepted

Cause: a connection stopped counting when its socket was closed, before its thread had logged the close and ended.

Change: slots that are held from before the accept until the thread ends; the same order for connections to servers.

--- a/brookhub/program/run.py
+++ b/brookhub/program/run.py
@@ -249,7 +249,7 @@
         if self.maintenance:
             port.on_request_finished = self.maintenance.on_request_finished
             port.run(monotonic(), self.maintenance.start)
-        start_thread(self.listener.accept_until_closed, self.clients.on_accepted)
+        start_thread(self.listener.accept_until_closed, self.clients.on_accepted, self.clients.slots)
 
     def reload(self) -> None:
         """Reload the start file and apply its discovery and counter addresses, peers and maintenance plan.
--- a/brookhub/routing/client_connection.py
+++ b/brookhub/routing/client_connection.py
@@ -12,6 +12,7 @@
 from ..protocol.errors import MalformedError
 from ..protocol.request_codec import ParsedRequest
 from ..transport.close_reason import CloseReason
+from ..transport.connection_slots import ConnectionSlots
 from ..transport.stream import Stream
 from .client_request import PendingResponse
 from .connections import ConnectionLog, read_until_closed
@@ -37,6 +38,10 @@
     def decoder(self) -> RequestDecoder:
         """The decoder of commands. Any thread may use it."""
 
+    @property
+    def slots(self) -> ConnectionSlots:
+        """The slots of all connections. Any thread may use them."""
+
     @property
     def log_closed(self) -> ConnectionLog:
         """The callback that logs a closed connection. Called without the lock."""
@@ -106,6 +111,12 @@
 
     def run(self) -> None:
         """Read commands until the connection is closed. Runs in a thread of its own."""
+        try:
+            self._read_until_closed()
+        finally:
+            self._owner.slots.release()  # Last: until here the thread and the buffers exist.
+
+    def _read_until_closed(self) -> None:
         loop = self._owner.loop
         stream = self.stream
         started_at = monotonic()
--- a/brookhub/routing/client_table.py
+++ b/brookhub/routing/client_table.py
@@ -25,8 +25,6 @@
         self.idle: OrderedConnections = {}  # Connections without an open request.
         self.without_command: OrderedConnections = {}  # Connections that have not sent a complete command.
         self.write_blocked: OrderedConnections = {}  # Connections without space for their next response.
-        # Number of descriptors, including those of closed connections that are not released yet.
-        self.open_descriptors = 0
 
     def add_connection(self, connection: ClientConnection, now: float) -> None:
         """Add a connection that was just accepted."""
@@ -35,7 +33,7 @@
         self.without_command[connection] = None
 
     def remove_connection(self, connection: ClientConnection) -> None:
-        """Remove a connection. Its descriptor still counts until it is released."""
+        """Remove a connection that is closed or being closed. It keeps its slot until its thread ends."""
         self.connections.pop(connection, None)
         self.write_blocked.pop(connection, None)
         self.mark_active(connection)
--- a/brookhub/routing/clients.py
+++ b/brookhub/routing/clients.py
@@ -12,6 +12,7 @@
 from ..registry import CustomerRegistry
 from ..site import GatewaySettings
 from ..transport.close_reason import CloseReason
+from ..transport.connection_slots import ConnectionSlots
 from ..transport.sockets import set_blocking_timeouts
 from ..transport.threads import start_thread
 from .client_connection import MAX_RESPONSE_DELAY, ClientConnection
@@ -36,7 +37,7 @@
     """Limits on the resources that clients may use. Times in seconds."""
 
     max_connections: int
-    spare_connections: int  # Additional connections while evicted ones are being closed.
+    spare_connections: int  # Additional connections whose threads have not ended yet.
     max_open_requests: int
     max_unread_bytes_per_client: int  # Limit of the responses behind the one that a client does not read.
     max_unread_bytes: int  # Maximum size of all responses and open requests of all clients.
@@ -59,7 +60,7 @@
     """All connections of clients. Implements `client_connection.ClientConnectionOwner`.
 
     All methods except `on_accepted`, `start` and `_refuse` are called under the event loop's lock, which
-    guards all fields; the settings, `decoder` and the callbacks never change.
+    guards all fields; the settings, `decoder` and the callbacks never change, and `slots` is thread-safe.
     """
 
     def __init__(
@@ -82,6 +83,7 @@
         self.table = ClientTable()
         self.usage = ClientUsage()
         self.open_request_ids: set[int] = set()
+        self.slots = ConnectionSlots(limits.max_connections + limits.spare_connections)
         self._customers = CustomerRegistry()
         self._check_interval = limits.first_request_timeout / CHECKS_PER_TIMEOUT
         self._suspension = SuspensionDetector(
@@ -98,21 +100,24 @@
     # Accepting and closing connections
 
     def on_accepted(self, sock: socket.socket) -> None:
-        """Create a connection for an accepted socket. Called by the listener's thread without the lock."""
+        """Create a connection for an accepted socket, which holds one of the `slots`.
+
+        Called by the listener's thread without the lock.
+        """
         try:
             set_blocking_timeouts(sock, writing=self.limits.write_timeout)
         except OSError:
             sock.close()
+            self.slots.release()
             return
         connection = ClientConnection(self, sock)
         self.loop.run(monotonic(), self.admit, connection)
 
     def admit(self, connection: ClientConnection) -> None:
         """Admit a new connection; at the limit, evict another one for it or else refuse it."""
-        if self.table.open_descriptors >= self.limits.max_connections and not self._evict():
+        if len(self.connections) >= self.limits.max_connections and not self._evict():
             self.loop.defer(self._refuse, connection)
             return
-        self.table.open_descriptors += 1
         self.check_suspension()
         if self.loop.now - self._suspension.last_ended_at < MAX_RESPONSE_DELAY:
             # The client may have connected and sent its request during the suspension.
@@ -121,13 +126,9 @@
         self.loop.defer(self.start, connection)
 
     def _evict(self) -> bool:
-        """Close a connection to admit a new one.
-
-        Returns False if none may be closed, or if too many are being closed already.
-        """
+        """Close a connection to admit a new one; return False if none may be closed."""
         evictable = self.table.find_evictable(self.loop.now, self._check_interval, self._is_shutting_down)
-        descriptor_limit = self.limits.max_connections + self.limits.spare_connections
-        if evictable is None or self.table.open_descriptors >= descriptor_limit:
+        if evictable is None:
             return False
         self.disconnect(evictable, CloseReason.EVICTED)
         return True
@@ -136,6 +137,7 @@
         """Close a connection that was not admitted. Called without the lock."""
         connection.stream.close()
         self.log_closed("client", CloseReason.CONNECTION_LIMIT, None, 0.0, 0)
+        self.slots.release()
 
     def start(self, connection: ClientConnection) -> None:
         """Start the thread of a connection. Called without the lock."""
@@ -143,6 +145,7 @@
             connection.stream.close()
             self.loop.run(monotonic(), connection.on_closed)
             self.log_closed("client", CloseReason.NO_THREAD, None, 0.0, 0)
+            self.slots.release()
 
     def disconnect(self, connection: ClientConnection, reason: CloseReason) -> None:
         """Close a connection at once; its client is expected to send further commands on another one."""
@@ -162,7 +165,6 @@
 
     def on_closed(self, connection: ClientConnection) -> None:
         """Remove a closed connection and fail its open requests, as its client waits for no response."""
-        self.table.open_descriptors -= 1
         self.table.remove_connection(connection)
         # Before the requests fail: responses to a closed connection are not counted, so they must not be
         # subtracted.
--- a/brookhub/routing/upstreams.py
+++ b/brookhub/routing/upstreams.py
@@ -66,16 +66,22 @@
 
     def run(self) -> None:
         """Connect, then read until the connection is closed. Runs in a thread of its own."""
+        started_at = monotonic()
+        try:
+            reason = self._connect_and_read()
+            self._log_closed(self.close_reason or reason, monotonic() - started_at)
+        finally:  # Last: until here the thread and the buffers exist.
+            self.connections.port.run(monotonic(), self.connections.on_closed)
+
+    def _connect_and_read(self) -> CloseReason:
+        """Connect, and read until the connection is closed; return why it was closed."""
         connections = self.connections
         port = connections.port
-        started_at = monotonic()
         try:
             sock = connect(self.pool.address, connections.settings.connect_timeout)
         except OSError:
             port.run(monotonic(), connections.on_disconnected, self)
-            port.run(monotonic(), connections.on_closed)
-            self._log_closed(self.close_reason or CloseReason.CONNECT_FAILED, monotonic() - started_at)
-            return
+            return CloseReason.CONNECT_FAILED
         stream = Stream(sock, resp.BUFFER_BYTES)
         self.stream = stream
         port.run(monotonic(), connections.on_connected, self)
@@ -92,10 +98,7 @@
         stream.abort(read_until_closed(wait_for_bytes, on_readable, port.report_error))
         port.run(monotonic(), connections.on_disconnected, self)
         stream.close()
-        port.run(monotonic(), connections.on_closed)
-        self._log_closed(
-            self.close_reason or stream.close_reason or CloseReason.CLOSED, monotonic() - started_at
-        )
+        return stream.close_reason or CloseReason.CLOSED
 
     def close(self, reason: CloseReason) -> None:
         """Close the connection; the reason of the first call is kept. Called without the lock."""
@@ -126,7 +129,7 @@
         self.pools: dict[int, ConnectionPool] = {}  # By server id: the pool of its connections.
         self.in_flight: dict[Attempt, UpstreamConnection] = {}
         self.idle: dict[UpstreamConnection, None] = {}  # Idle connections of all pools, longest idle first.
-        self.open_descriptors = 0  # Number of connections that are connecting or not yet closed.
+        self.open_connections = 0  # Number of connections whose threads have not ended yet.
         self.partial_bytes = 0  # Total size of the partly received values on all connections.
 
     def update_address(self, server: Server, address: tuple[str, int]) -> None:
@@ -158,14 +161,14 @@
             self._assign_attempt(connection, attempt, deadline)
             self._write_attempt(connection, attempt)
             return
-        if self.open_descriptors >= self.settings.max_connections:
+        if self.open_connections >= self.settings.max_connections:
             if not self.idle:
                 self.port.call_soon(lambda: self.port.end_attempt(attempt, Outcome.CONNECT_FAILED))
                 return
             self._discard(next(iter(self.idle)), CloseReason.EVICTED)
         connection = UpstreamConnection(self, pool, attempt.server, attempt)
         self._assign_attempt(connection, attempt, deadline)
-        self.open_descriptors += 1
+        self.open_connections += 1
         self.port.defer(self.start, connection)
 
     def cancel(self, attempt: Attempt) -> None:
@@ -188,8 +191,8 @@
         """Start a connection's thread. Called without the lock."""
         if not start_thread(connection.run):
             self.port.run(monotonic(), self.on_disconnected, connection)
-            self.port.run(monotonic(), self.on_closed)
             self.log_closed("server", CloseReason.NO_THREAD, connection.server, 0.0, 0)
+            self.port.run(monotonic(), self.on_closed)
 
     # Events from a connection's thread, under the lock
 
@@ -253,8 +256,8 @@
             self.port.end_attempt(attempt, Outcome.RESET if fully_written else Outcome.CONNECT_FAILED)
 
     def on_closed(self) -> None:
-        """Stop counting the descriptor of a connection, as it was closed."""
-        self.open_descriptors -= 1
+        """Stop counting a connection whose thread is about to end."""
+        self.open_connections -= 1
 
     # Helpers, under the lock
 
--- a/brookhub/transport/sockets.py
+++ b/brookhub/transport/sockets.py
@@ -9,9 +9,12 @@
 from threading import Event
 from time import sleep
 
+from .connection_slots import ConnectionSlots
+
 ACCEPT_BACKLOG = 512  # Connections that the kernel queues until they are accepted.
 # Buffer size requested per direction: the largest value of the protocol. The kernel doubles it.
 SOCKET_BUFFER_BYTES = 64 * 1024
+SLOT_WAIT = 0.25  # Seconds until the listener checks again whether a connection slot is free.
 ACCEPT_RETRY_PAUSE = 0.05  # Seconds before the next accept after one has failed.
 
 
@@ -71,19 +74,28 @@
             self.sock.close()
             raise
 
-    def accept_until_closed(self, on_accepted: Callable[[socket.socket], object]) -> None:
-        """Pass each accepted connection to `on_accepted` until `close`. Runs in its own thread."""
-        while True:
+    def accept_until_closed(
+        self, on_accepted: Callable[[socket.socket], object], slots: ConnectionSlots
+    ) -> None:
+        """Pass each accepted connection to `on_accepted` until `close`. Runs in its own thread.
+
+        Each connection gets one of the `slots`, which `on_accepted` has to release.
+        """
+        is_open = True
+        while is_open:
+            if not slots.acquire(SLOT_WAIT):
+                continue
+            sock = None
             try:
                 sock, _ = self.sock.accept()
             except BlockingIOError:
-                if self._is_closing:  # The backlog is empty.
-                    break
-                continue
+                is_open = not self._is_closing  # If it is closing, the backlog is empty.
             except OSError:
                 sleep(ACCEPT_RETRY_PAUSE)  # No file descriptor is free, or the peer has already closed.
-                continue
-            on_accepted(sock)
+            if sock:
+                on_accepted(sock)
+            else:
+                slots.release()
         self.sock.close()
         self.stopped.set()
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -19,6 +19,7 @@
 from brookhub.routing.port import SocketGatewayPort
 from brookhub.routing.request_decoder import PING
 from brookhub.site import Plan, Route
+from brookhub.transport.connection_slots import ConnectionSlots
 from brookhub.transport.sockets import Listener
 from brookhub.transport.stream import Stream
 from gateway_harness import DEFAULT_SETTINGS
@@ -694,7 +695,7 @@
     address = listener.sock.getsockname()
     threading.Thread(
         target=listener.accept_until_closed,
-        args=(lambda sock: (time.sleep(0.02), accepted.append(sock)),),
+        args=(lambda sock: (time.sleep(0.02), accepted.append(sock)), ConnectionSlots(20)),
         daemon=True,
     ).start()
     clients = [socket.create_connection(address) for _ in range(10)]
