Closing connections do not wait for the log: one thread writes the queued lines

Cause: every closing connection's thread waited for one lock around the log's file. With a log that is not read, slots ran out and nobody was served (before the slots: threads without a bound).

Change: LineWriter queues lines; the thread that finds no other one writing writes all. At most 1,000 lines wait, further ones are dropped.

--- a/brookhub/program/log.py
+++ b/brookhub/program/log.py
@@ -6,7 +6,9 @@
 from __future__ import annotations
 
 import sys
-from typing import TextIO, cast
+from collections import deque
+from threading import Lock
+from typing import TextIO
 
 import structlog
 from structlog.typing import FilteringBoundLogger
@@ -14,40 +16,70 @@
 from ..model import Server
 from ..transport.close_reason import CloseReason
 
+MAX_QUEUED_LINES = 1000  # Lines that wait while another thread is writing.
 
-class LossyFile:
-    """A log file whose `write` and `flush` never raise.
 
-    A line that cannot be written, because the pipe's reader has exited or the disk is full, is dropped and
-    counted: a request must not fail because its log line cannot be written.
+class LineWriter:
+    """A writer of log lines that never raises, and never waits for another thread that writes.
+
+    Lines are queued, and the thread that finds no other one writing writes all of them. So at most one thread
+    waits if the log's reader is slow. A line that cannot be written, because the pipe's reader has exited or
+    the disk is full, or that finds the queue full, is dropped and counted: a request must not fail, and a
+    connection must not stay open, because its log line cannot be written. Thread-safe.
     """
 
     def __init__(self, file: TextIO) -> None:
-        self._file = file
-        self.dropped = 0  # Number of failed writes and flushes.
-
-    def write(self, text: str) -> None:
-        """Write `text`, or count the failure."""
-        try:
-            self._file.write(text)
-        except (OSError, ValueError):
+        self.file = file
+        self._lines: deque[str] = deque()
+        self._is_writing = Lock()
+        self.dropped = 0  # Number of lines that were not written; approximate.
+
+    def msg(self, line: str) -> None:
+        """Write a line. If another thread is writing, that thread will write it."""
+        if len(self._lines) >= MAX_QUEUED_LINES:
             self.dropped += 1
-
-    def flush(self) -> None:
-        """Flush the file, or count the failure."""
+            return
+        self._lines.append(line + "\n")
+        while self._lines and self._is_writing.acquire(blocking=False):
+            try:
+                self._write_queued()
+            finally:
+                self._is_writing.release()
+
+    log = debug = info = warning = error = critical = msg
+
+    def flush(self, seconds: float) -> bool:
+        """Wait for at most `seconds` until all lines are written; return whether they are."""
+        if not self._is_writing.acquire(timeout=seconds):
+            return False
         try:
-            self._file.flush()
-        except (OSError, ValueError):
-            self.dropped += 1
+            self._write_queued()
+        finally:
+            self._is_writing.release()
+        return True
+
+    def _write_queued(self) -> None:
+        """Write all queued lines. Called by the thread that holds `_is_writing`."""
+        while self._lines:
+            lines = [self._lines.popleft() for _ in range(len(self._lines))]
+            try:
+                self.file.write("".join(lines))
+                self.file.flush()
+            except (OSError, ValueError):
+                self.dropped += len(lines)
+
+
+writer = LineWriter(sys.stderr)
+"""The writer of this process's log lines."""
 
 
 def setup(output_format: str = "json") -> None:
     """Configure the log of all sub-commands: `json` writes JSON lines, `console` lines for a terminal."""
+    writer.file = sys.stderr
     if output_format == "console":
         renderer: structlog.typing.Processor = structlog.dev.ConsoleRenderer(colors=False)
     else:
         renderer = structlog.processors.JSONRenderer()
-    file = cast(TextIO, LossyFile(sys.stderr))  # structlog calls only `write` and `flush`.
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -55,7 +87,7 @@
             structlog.processors.format_exc_info,
             renderer,
         ],
-        logger_factory=structlog.WriteLoggerFactory(file=file),
+        logger_factory=lambda *_: writer,
         cache_logger_on_first_use=True,
     )
 
--- a/brookhub/program/run.py
+++ b/brookhub/program/run.py
@@ -45,6 +45,7 @@
 DRAIN_GRACE = 0.2  # Additional time for responses after the longest client timeout.
 DRAIN_POLL_INTERVAL = 0.02
 FLUSH_TIME = 0.1  # Time to write the last responses.
+LOG_FLUSH_TIME = 0.05  # Maximum time to write the last log lines.
 
 
 class GatewayProcess:
@@ -316,4 +317,5 @@
         print(f"brookhub: {error}", file=sys.stderr)
         return UNUSABLE_START_FILE
     process.run()
+    log.writer.flush(LOG_FLUSH_TIME)
     os._exit(0)  # Also ends the threads that are blocked on sockets.
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import fcntl
 import itertools
 import os
 import random
@@ -20,6 +21,7 @@
 import pytest
 
 from brookhub.fakes import FakeListener, FakeServer, host, read_value
+from brookhub.program.log import MAX_QUEUED_LINES, LineWriter
 from brookhub.protocol import http
 from brookhub.protocol.errors import MalformedError
 from brookhub.protocol.json_documents import JsonObjectReader
@@ -211,6 +213,54 @@
         second_server.close()
 
 
+def test_log_pipe_that_is_not_read_keeps_no_connection_open(started):
+    # Each connection logs its close, and holds its slot until it has logged.
+    program = started(limits={"memory_mb": 96, "sockets": 60})
+    reader, writer = os.pipe()
+    fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
+    try:
+        with process_with_log(program, writer) as (port, process):
+            for _ in range(200):  # More than there are slots, and more lines than the pipe holds.
+                socket.create_connection(("127.0.0.1", port), 5).close()
+            assert until(lambda: response_at(port) == b"ok", 6) and process.poll() is None
+            thread_count = len(os.listdir(f"/proc/{process.pid}/task"))
+            assert thread_count < 30
+    finally:
+        os.close(reader)
+
+
+def test_lines_are_written_whole_and_in_the_order_of_each_thread_and_dropped_when_too_many_wait():
+    file = BlockedFile()
+    log = LineWriter(file)
+    first = threading.Thread(target=log.msg, args=("first",))
+    first.start()
+    assert until(lambda: file.is_waiting)
+    for number in range(MAX_QUEUED_LINES + 5):
+        log.msg(str(number))  # Does not wait for the blocked thread.
+    assert log.dropped == 5 and not log.flush(0.01)
+    file.unblocked.set()
+    first.join(10)
+    assert log.flush(5)
+    assert "".join(file.texts).split() == ["first", *map(str, range(MAX_QUEUED_LINES))]
+
+
+class BlockedFile:
+    """A file whose writes wait until `unblocked` is set."""
+
+    def __init__(self):
+        self.unblocked = threading.Event()
+        self.is_waiting = False
+        self.texts = []
+
+    def write(self, text):
+        self.is_waiting = True
+        self.unblocked.wait(10)
+        self.texts.append(text)
+
+    def flush(self):
+        pass
+
+
 @contextlib.contextmanager
 def process_with_log(program, log):
     """Run another process with the same start file on a port of its own; it logs to the descriptor `log`."""
