Partly received commands are charged to the memory before their buffers grow

Change: a connection reserves memory before its buffer grows; a tenth of memory_mb for all. If it is used up, the oldest partly received command's connection is closed. Decoding and charging of what a client sends moved from ClientConnection to CommandInput.

--- a/brookhub/program/limits.py
+++ b/brookhub/program/limits.py
@@ -22,6 +22,7 @@
 # Limit of the unread responses to all clients plus the bodies of their requests. Values that are being
 # received from servers have a separate limit of the same size.
 UNREAD_SHARE = 0.2
+INPUT_SHARE = 0.1  # Limit of the commands that are partly received from clients.
 VALUE_SHARE = 1 / 64  # Limit of one value received from a server.
 
 # Clients
@@ -100,6 +101,7 @@
         max_open_requests=start.max_open_requests,
         max_unread_bytes_per_client=int(start.memory_bytes * CLIENT_UNREAD_SHARE),
         max_unread_bytes=int(start.memory_bytes * UNREAD_SHARE),
+        max_input_bytes=int(start.memory_bytes * INPUT_SHARE),
         write_timeout=CLIENT_WRITE_TIMEOUT,
         slow_reader_timeout=SLOW_READER_TIMEOUT,
         linger_time=LINGER_TIME,
--- a/brookhub/protocol/resp.py
+++ b/brookhub/protocol/resp.py
@@ -65,7 +65,7 @@
 
     def feed(self, ring: RingBuffer) -> Iterator[RespValue]:
         """Yield each complete value. Raises MalformedError."""
-        if self._items is None and self._bulk_size is None and len(ring):
+        if self.is_idle() and len(ring):
             chunk = ring.readable_view()
             length = len(chunk)
             command = parse_plain_command(chunk)
@@ -166,6 +166,16 @@
             return 0
         return self._bulk_size - self.received + len(LINE_END)
 
+    def parsed_bytes(self) -> int:
+        """Return the total size of the complete bulk strings in the array that is being read."""
+        if self._items is None:
+            return 0
+        return self._bulk_bytes - (self._bulk_size or 0)
+
+    def is_idle(self) -> bool:
+        """Return whether no value is partly parsed."""
+        return self._items is None and self._bulk_size is None
+
     def value_buffer(self) -> memoryview:
         """Return the unfilled part of `partial_value` for reading from the socket into it.
 
--- a/brookhub/routing/client_connection.py
+++ b/brookhub/routing/client_connection.py
@@ -15,14 +15,19 @@
 from ..transport.connection_slots import ConnectionSlots
 from ..transport.stream import Stream
 from .client_request import PendingResponse
+from .command_input import CommandInput
 from .connections import ConnectionLog, read_until_closed
 from .event_loop import EventLoop
+from .input_memory import InputMemory
 from .request_decoder import Command, InvalidCommand, RequestDecoder
 
 # Maximum seconds from a request's deadline to its response. A later response is not sent, because the client
 # no longer waits for it.
 MAX_RESPONSE_DELAY = 0.5
 
+MAX_INPUT_MEMORY_WAIT = 1.0  # Maximum seconds for which a client is not read because memory is used up.
+INPUT_MEMORY_POLL_INTERVAL = 0.05  # Seconds between checks whether a waiting connection was closed.
+
 
 class ClientConnectionOwner(Protocol):
     """Interface of `clients.Clients` for its connections.
@@ -42,6 +47,10 @@
     def slots(self) -> ConnectionSlots:
         """The slots of all connections. Any thread may use them."""
 
+    @property
+    def input_memory(self) -> InputMemory:
+        """The memory for partly received commands. Any thread may use it."""
+
     @property
     def log_closed(self) -> ConnectionLog:
         """The callback that logs a closed connection. Called without the lock."""
@@ -70,6 +79,9 @@
     def on_response_waiting(self, response: PendingResponse) -> None:
         """Limit the memory of responses, as this one waits for earlier ones or for its client."""
 
+    def on_input_memory_exhausted(self, connection: ClientConnection, size: int) -> None:
+        """Close other connections to free `size` bytes of the memory for partly received commands."""
+
     def on_write_blocked(self, connection: ClientConnection) -> None:
         """Handle a connection whose stream has no space for the next response."""
 
@@ -89,12 +101,12 @@
 class ClientConnection:
     """Connection of one client, with the thread that reads it and owns its socket.
 
-    The event loop's lock guards all fields except `stream` (see `Stream`) and the reader, which belong to the
-    thread.
+    The event loop's lock guards all fields except `stream` and `input` (see `Stream` and `CommandInput`).
     """
 
     def __init__(self, owner: ClientConnectionOwner, sock: socket.socket) -> None:
         self.stream = Stream(sock, resp.BUFFER_BYTES, self._on_drained)
+        self.input = CommandInput(self.stream.inbound, owner.decoder, owner.input_memory)
         self.pending_responses: deque[PendingResponse] = deque()  # In the order of the requests.
         # Monotonic time in seconds. Until the first command, the time at which the connection was accepted.
         self.idle_since = 0.0
@@ -103,7 +115,6 @@
         self.is_closing = False  # No further commands are read.
         self.is_closed = False  # Closed, or about to be aborted: no further responses are written.
         self._owner = owner
-        self._reader = resp.RespReader()
         self._responses_written = 0
         self._is_write_blocked = False  # A response waits for space in the stream's buffer.
 
@@ -125,6 +136,7 @@
             reason = CloseReason.CLIENT_CLOSED
         stream.abort(stream.shutdown_reason or reason)
         stream.close()
+        self.input.close()
         loop.run(monotonic(), self.on_closed)
         stream.on_drained = None  # Breaks the reference cycle between stream and connection.
         seconds = monotonic() - started_at
@@ -136,26 +148,32 @@
         """Handle bytes received at `now` (seconds, monotonic); return whether to stop reading."""
         stream = self.stream
         if self.is_closing:
-            stream.inbound.consume(len(stream.inbound))
+            self.input.discard()
             return False
         commands: list[Command] = []
-        error = self._decode_commands(commands)
-        if not commands and not error:
+        error = self.input.decode(commands, now)
+        if commands or error:
+            if stream.is_closed_by_peer():
+                return True  # The client has left and waits for no response: its requests are not forwarded.
+            self._owner.loop.run(now, self.on_commands, commands, error)
+        if error:
+            return True  # Bytes after malformed ones are not read.
+        missing = self.input.missing_bytes()
+        if not missing or self.input.reserve(missing, 0):
             return False
-        if stream.is_closed_by_peer():
-            return True  # The client has left and waits for no response: its requests are not forwarded.
-        self._owner.loop.run(now, self.on_commands, commands, error)
-        return error is not None  # Bytes after malformed ones are not read.
-
-    def _decode_commands(self, commands: list[Command]) -> MalformedError | None:
-        """Append all complete commands to `commands`; return the error if malformed bytes follow them."""
-        decode = self._owner.decoder.decode
-        try:
-            for value in self._reader.feed(self.stream.inbound):
-                commands.append(decode(value))
-        except MalformedError as error:
-            return error
-        return None
+        return not self._wait_for_input_memory(missing)
+
+    def _wait_for_input_memory(self, size: int) -> bool:
+        """Have others closed that hold memory for commands, and reserve `size` bytes once they are freed."""
+        loop = self._owner.loop
+        loop.run(monotonic(), self._owner.on_input_memory_exhausted, self, size)
+        deadline = monotonic() + MAX_INPUT_MEMORY_WAIT
+        while not self.stream.close_reason and monotonic() < deadline:
+            if self.input.reserve(size, INPUT_MEMORY_POLL_INTERVAL):
+                return True
+        error = MalformedError("no memory for this command", CloseReason.MEMORY_LIMIT)
+        loop.run(monotonic(), self.on_commands, [], error)
+        return False
 
     # Events, under the event loop's lock
 
--- a/brookhub/routing/client_table.py
+++ b/brookhub/routing/client_table.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 from itertools import islice
+from math import inf
 from typing import TypeAlias
 
 from .client_connection import ClientConnection
@@ -82,6 +83,20 @@
                 longest, blocked_by = connection, blocked_since
         return longest
 
+    def find_oldest_partial_command(self, other_than: ClientConnection) -> ClientConnection | None:
+        """Return the connection whose partly received command began first, or None.
+
+        Only connections that hold memory for it and have no open request are considered.
+        """
+        oldest, oldest_began_at = None, inf
+        for connection in self.connections:
+            began_at = connection.input.command_began_at
+            if not connection.input.reserved_bytes or began_at is None or connection is other_than:
+                continue
+            if began_at < oldest_began_at and not connection.pending_responses:
+                oldest, oldest_began_at = connection, began_at
+        return oldest
+
     def find_oldest(self, candidates: OrderedConnections, now: float) -> ClientConnection | None:
         """Return the oldest connection that may be closed, or None.
 
--- a/brookhub/routing/clients.py
+++ b/brookhub/routing/clients.py
@@ -19,6 +19,7 @@
 from .client_request import ClientRequest, PendingResponse
 from .client_table import ClientTable, OrderedConnections
 from .connections import ConnectionLog
+from .input_memory import InputMemory
 from .port import SocketGatewayPort
 from .request_decoder import RequestDecoder
 from .suspension import SuspensionDetector
@@ -41,6 +42,7 @@
     max_open_requests: int
     max_unread_bytes_per_client: int  # Limit of the responses behind the one that a client does not read.
     max_unread_bytes: int  # Maximum size of all responses and open requests of all clients.
+    max_input_bytes: int  # Maximum size of the partly received commands of all clients.
     write_timeout: float  # Maximum time for which a client may leave its responses unread.
     slow_reader_timeout: float  # Maximum time without progress above `max_unread_bytes_per_client`.
     linger_time: float  # Time between the graceful shutdown of a connection and its abort.
@@ -60,7 +62,8 @@
     """All connections of clients. Implements `client_connection.ClientConnectionOwner`.
 
     All methods except `on_accepted`, `start` and `_refuse` are called under the event loop's lock, which
-    guards all fields; the settings, `decoder` and the callbacks never change, and `slots` is thread-safe.
+    guards all fields; the settings, `decoder` and the callbacks never change, and `slots` and `input_memory`
+    are thread-safe.
     """
 
     def __init__(
@@ -83,6 +86,7 @@
         self.table = ClientTable()
         self.usage = ClientUsage()
         self.open_request_ids: set[int] = set()
+        self.input_memory = InputMemory(limits.max_input_bytes)
         self.slots = ConnectionSlots(limits.max_connections + limits.spare_connections)
         self._customers = CustomerRegistry()
         self._check_interval = limits.first_request_timeout / CHECKS_PER_TIMEOUT
@@ -273,7 +277,19 @@
         else:
             self.table.mark_idle(connection, self.loop.now)
 
-    # Memory of responses
+    # Memory
+
+    def on_input_memory_exhausted(self, connection: ClientConnection, size: int) -> None:
+        """Close the connections whose commands have been partly received for longest, to free `size` bytes.
+
+        Such a command is not accepted yet. Connections with open requests are not closed.
+        """
+        while size > 0:
+            oldest = self.table.find_oldest_partial_command(other_than=connection)
+            if oldest is None:
+                break
+            size -= oldest.input.reserved_bytes
+            self.disconnect(oldest, CloseReason.MEMORY_LIMIT)
 
     def on_write_blocked(self, connection: ClientConnection) -> None:
         """Record that a connection's stream has no space for the next response."""
--- /dev/null
+++ b/brookhub/routing/command_input.py
@@ -0,0 +1,78 @@
+"""What a client has sent: the decoding of commands, and the memory for one that is not complete."""
+
+from __future__ import annotations
+
+from ..protocol import resp
+from ..protocol.errors import MalformedError
+from ..transport.ring_buffer import RingBuffer
+from .input_memory import InputMemory
+from .request_decoder import Command, RequestDecoder
+
+# Bytes of a partly received command for which no memory is reserved: most commands never need more.
+FREE_BYTES = 6144
+
+
+class CommandInput:
+    """The commands of one connection. Used by the connection's thread only.
+
+    Other threads may read `reserved_bytes`, the memory reserved for the partly received command, and
+    `command_began_at`, the monotonic time in seconds at which its first bytes arrived (None without one).
+    """
+
+    def __init__(self, buffer: RingBuffer, decoder: RequestDecoder, memory: InputMemory) -> None:
+        """Decode the bytes that are read into `buffer`."""
+        self.reserved_bytes = 0
+        self.command_began_at: float | None = None
+        self._buffer = buffer
+        self._reader = resp.RespReader()
+        self._decoder = decoder
+        self._memory = memory
+
+    def decode(self, commands: list[Command], now: float) -> MalformedError | None:
+        """Append all complete commands to `commands`; return the error if malformed bytes follow them.
+
+        `now`: monotonic time in seconds at which the last bytes arrived.
+        """
+        try:
+            for value in self._reader.feed(self._buffer):
+                commands.append(self._decoder.decode(value))
+        except MalformedError as error:
+            return error
+        if self._reader.is_idle() and not len(self._buffer):
+            self.command_began_at = None
+        elif commands or self.command_began_at is None:
+            self.command_began_at = now
+        return None
+
+    def discard(self) -> None:
+        """Discard the received bytes."""
+        self._buffer.consume(len(self._buffer))
+
+    def missing_bytes(self) -> int:
+        """Return the memory that has to be reserved before the next read; releases what is not needed."""
+        missing = self._needed_bytes() - self.reserved_bytes
+        if missing < 0:
+            self._memory.release(-missing)
+            self.reserved_bytes += missing
+        return max(0, missing)
+
+    def reserve(self, size: int, seconds: float) -> bool:
+        """Reserve memory, waiting for at most `seconds`; return whether it is reserved."""
+        if not self._memory.reserve(size, seconds):
+            return False
+        self.reserved_bytes += size
+        return True
+
+    def close(self) -> None:
+        """Free the buffer and release its memory. Called when nothing is read any more."""
+        self._buffer.clear()
+        self._reader = resp.RespReader()
+        self._memory.release(self.reserved_bytes)
+        self.reserved_bytes = 0
+
+    def _needed_bytes(self) -> int:
+        """Return the memory of the partly received command after the next read, as far as it is counted."""
+        if self.command_began_at is None:
+            return 0
+        needed = self._reader.parsed_bytes() + self._buffer.next_storage_bytes()
+        return needed if needed > FREE_BYTES else 0
--- a/brookhub/transport/close_reason.py
+++ b/brookhub/transport/close_reason.py
@@ -41,6 +41,9 @@
     INTERNAL_ERROR = "internal-error"
     """An unexpected exception occurred, which is logged with its traceback."""
 
+    MEMORY_LIMIT = "memory-limit"
+    """The memory for commands that are not yet complete was used up; this one was the oldest of them."""
+
     NO_REQUEST = "no-request"
     """The client did not send a complete request in time after connecting."""
 
--- a/brookhub/transport/ring_buffer.py
+++ b/brookhub/transport/ring_buffer.py
@@ -23,6 +23,16 @@
     def __len__(self) -> int:
         return self.size
 
+    def next_storage_bytes(self) -> int:
+        """Return the size that the storage may have after the next read into `writable_view()`."""
+        return min(self.max_size, max(MIN_STORAGE_BYTES, 2 * len(self.storage)))
+
+    def clear(self) -> None:
+        """Discard all bytes and free the storage."""
+        self.storage = bytearray()
+        self.start = 0
+        self.size = 0
+
     def append(self, data: bytes | bytearray | memoryview) -> bool:
         """Append all of the bytes; if they do not fit, append nothing and return False."""
         length = len(data)
--- a/tests/routing_harness.py
+++ b/tests/routing_harness.py
@@ -80,6 +80,7 @@
     max_open_requests=9,
     max_unread_bytes_per_client=9999,
     max_unread_bytes=9999,
+    max_input_bytes=99_999,
     write_timeout=9.0,
     slow_reader_timeout=2.0,
     linger_time=1.0,
