Connections are bounded by memory as well, and all limits leave room for the process

Change: the limits are shares of what 20 MB for the process leave; connections get four tenths of it.

--- a/brookhub/program/limits.py
+++ b/brookhub/program/limits.py
@@ -17,13 +17,19 @@
 UPSTREAM_DESCRIPTOR_SHARE = 0.25  # Share of all descriptors: each server needs few, clients are many.
 MIN_CONNECTIONS = 8  # Minimum for clients and for servers, even if there are fewer descriptors.
 
-# Shares of the configured memory
+# Memory
+PROCESS_BYTES = 20 * 1024 * 1024  # The process without connections and data.
+MIN_DATA_SHARE = 0.25  # Minimum share of the configured memory that is assumed to be left for the rest.
+CONNECTION_BYTES = 20 * 1024  # The thread and the objects of a connection, without data.
+
+# Shares of the memory that the process itself leaves; the whole in sum, as responses may exceed theirs by half
+CONNECTION_SHARE = 0.4  # Limit of the connections to clients and servers, without data.
 CLIENT_UNREAD_SHARE = 0.005  # Limit of the unread responses to one client.
 # Limit of the unread responses to all clients plus the bodies of their requests. Values that are being
 # received from servers have a separate limit of the same size.
 UNREAD_SHARE = 0.2
 INPUT_SHARE = 0.1  # Limit of the commands that are partly received from clients.
-VALUE_SHARE = 1 / 64  # Limit of one value received from a server.
+VALUE_SHARE = 1 / 64  # Limit of one value received from a server, as a share of the configured memory.
 
 # Clients
 CLIENT_WRITE_TIMEOUT = 20.0  # A client that leaves its responses unread for longer is disconnected.
@@ -75,9 +81,19 @@
     )
 
 
+def data_bytes(start: StartFile) -> float:
+    """Return the memory that the process itself leaves for connections and data."""
+    return max(start.memory_bytes - PROCESS_BYTES, start.memory_bytes * MIN_DATA_SHARE)
+
+
+def max_connections(start: StartFile) -> int:
+    """Return the maximum number of all connections, by file descriptors and by memory."""
+    return min(start.max_descriptors, int(data_bytes(start) * CONNECTION_SHARE / CONNECTION_BYTES))
+
+
 def max_upstream_connections(start: StartFile) -> int:
     """Return the maximum number of connections from a gateway to servers."""
-    return max(MIN_CONNECTIONS, int(start.max_descriptors * UPSTREAM_DESCRIPTOR_SHARE))
+    return max(MIN_CONNECTIONS, int(max_connections(start) * UPSTREAM_DESCRIPTOR_SHARE))
 
 
 def upstream_settings(start: StartFile) -> UpstreamSettings:
@@ -88,20 +104,20 @@
         settle_time=SETTLE_TIME,
         max_connections=max_upstream_connections(start),
         max_value_bytes=int(start.memory_bytes * VALUE_SHARE),
-        max_partial_bytes=int(start.memory_bytes * UNREAD_SHARE),
+        max_partial_bytes=int(data_bytes(start) * UNREAD_SHARE),
     )
 
 
 def client_limits(start: StartFile) -> ClientLimits:
-    """Return the limits for clients, which get the descriptors that the other components leave."""
+    """Return the limits for clients, which get the connections that the other components leave."""
     reserved = max_upstream_connections(start) + COUNTER_CONNECTIONS + RESERVED_DESCRIPTORS
     return ClientLimits(
-        max_connections=max(MIN_CONNECTIONS, start.max_descriptors - reserved),
+        max_connections=max(MIN_CONNECTIONS, max_connections(start) - reserved),
         spare_connections=RESERVED_DESCRIPTORS // 2,
         max_open_requests=start.max_open_requests,
-        max_unread_bytes_per_client=int(start.memory_bytes * CLIENT_UNREAD_SHARE),
-        max_unread_bytes=int(start.memory_bytes * UNREAD_SHARE),
-        max_input_bytes=int(start.memory_bytes * INPUT_SHARE),
+        max_unread_bytes_per_client=int(data_bytes(start) * CLIENT_UNREAD_SHARE),
+        max_unread_bytes=int(data_bytes(start) * UNREAD_SHARE),
+        max_input_bytes=int(data_bytes(start) * INPUT_SHARE),
         write_timeout=CLIENT_WRITE_TIMEOUT,
         slow_reader_timeout=SLOW_READER_TIMEOUT,
         linger_time=LINGER_TIME,
--- a/tests/test_connection_slots.py
+++ b/tests/test_connection_slots.py
@@ -5,10 +5,14 @@
 import socket
 import threading
 import time
+from types import SimpleNamespace
+
+import pytest
 
 from brookhub.model import Attempt, Customer, Request
+from brookhub.program import limits
 from brookhub.routing.client_connection import ClientConnection
-from brookhub.routing.clients import Clients
+from brookhub.routing.clients import MEMORY_OVERRUN, Clients
 from brookhub.routing.port import SocketGatewayPort
 from brookhub.routing.upstreams import ConnectionPool, UpstreamConnection, UpstreamConnections
 from brookhub.site import Plan, Route
@@ -86,6 +90,23 @@
     assert until(lambda: upstreams.open_connections == 0) and errors == []
 
 
+@pytest.mark.parametrize("memory_mb", [32, 48, 96, 192])
+def test_connections_and_data_together_fit_into_the_memory(memory_mb):
+    start = SimpleNamespace(
+        memory_bytes=memory_mb * 1024 * 1024,
+        max_descriptors=1024,
+        max_open_requests=20_000,
+        connect_timeout=0.25,
+        server_idle_timeout=15.0,
+    )
+    clients, upstreams = limits.client_limits(start), limits.upstream_settings(start)
+    connections = clients.max_connections + clients.spare_connections + upstreams.max_connections
+    data = MEMORY_OVERRUN * clients.max_unread_bytes + clients.max_input_bytes + upstreams.max_partial_bytes
+    total = limits.PROCESS_BYTES + connections * limits.CONNECTION_BYTES + data
+    assert total <= start.memory_bytes
+    assert clients.max_connections >= 128
+
+
 def play_bad_client(program, stopped):
     """Send half a command and wait to be closed, again and again."""
     while not stopped.is_set():
