Partly received responses of any size are charged until their connection has ended

Cause: only responses over 64 KiB were charged to the memory, and stopped counting when their connection was discarded, before its thread had freed them.

--- a/brookhub/routing/upstreams.py
+++ b/brookhub/routing/upstreams.py
@@ -61,7 +61,7 @@
         self.idle_since = 0.0
         self.response_count = 0
         self.reader = resp.RespReader(connections.settings.max_value_bytes)
-        # Size of the partly received value, as counted in `UpstreamConnections.partial_bytes`.
+        # Memory of the partly received response, as counted in `UpstreamConnections.partial_bytes`.
         self.partial_bytes = 0
 
     def run(self) -> None:
@@ -71,7 +71,7 @@
             reason = self._connect_and_read()
             self._log_closed(self.close_reason or reason, monotonic() - started_at)
         finally:  # Last: until here the thread and the buffers exist.
-            self.connections.port.run(monotonic(), self.connections.on_closed)
+            self.connections.port.run(monotonic(), self.connections.on_closed, self)
 
     def _connect_and_read(self) -> CloseReason:
         """Connect, and read until the connection is closed; return why it was closed."""
@@ -130,7 +130,7 @@
         self.in_flight: dict[Attempt, UpstreamConnection] = {}
         self.idle: dict[UpstreamConnection, None] = {}  # Idle connections of all pools, longest idle first.
         self.open_connections = 0  # Number of connections whose threads have not ended yet.
-        self.partial_bytes = 0  # Total size of the partly received values on all connections.
+        self.partial_bytes = 0  # Memory of the partly received responses on all connections.
 
     def update_address(self, server: Server, address: tuple[str, int]) -> None:
         """Apply a server's address and its changed state (`port.Upstreams`).
@@ -192,7 +192,7 @@
         if not start_thread(connection.run):
             self.port.run(monotonic(), self.on_disconnected, connection)
             self.log_closed("server", CloseReason.NO_THREAD, connection.server, 0.0, 0)
-            self.port.run(monotonic(), self.on_closed)
+            self.port.run(monotonic(), self.on_closed, connection)
 
     # Events from a connection's thread, under the lock
 
@@ -229,7 +229,8 @@
                 self._on_response(connection, stream, attempt, ServerResponse(value))
                 return
             # A partly received value is counted with its full size, as the rest may arrive at any time.
-            self._count_partial(connection, len(connection.reader.partial_value))
+            held_bytes = len(connection.reader.partial_value) + stream.inbound.next_storage_bytes()
+            self._count_partial(connection, held_bytes + connection.reader.parsed_bytes())
             if self.partial_bytes > self.settings.max_partial_bytes:
                 raise MalformedError(
                     f"partly received responses: {self.partial_bytes} bytes on all server connections, "
@@ -255,8 +256,9 @@
         if attempt:
             self.port.end_attempt(attempt, Outcome.RESET if fully_written else Outcome.CONNECT_FAILED)
 
-    def on_closed(self) -> None:
-        """Stop counting a connection whose thread is about to end."""
+    def on_closed(self, connection: UpstreamConnection) -> None:
+        """Stop counting a connection whose thread is about to end, and the bytes that it has received."""
+        self._count_partial(connection, 0)
         self.open_connections -= 1
 
     # Helpers, under the lock
@@ -322,7 +324,7 @@
         return length
 
     def _count_partial(self, connection: UpstreamConnection, size: int) -> None:
-        """Count the size of the partly received value on a connection."""
+        """Count the memory of the partly received response on a connection."""
         self.partial_bytes += size - connection.partial_bytes
         connection.partial_bytes = size
 
@@ -370,7 +372,6 @@
 
     def _remove(self, connection: UpstreamConnection) -> None:
         """Remove a connection from the pool and the attempts in flight, so that nothing is sent on it."""
-        self._count_partial(connection, 0)
         self.idle.pop(connection, None)
         connection.pool.idle.pop(connection, None)
         if connection.attempt:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -151,6 +151,22 @@
         assert len(stream.inbound) <= resp.BUFFER_BYTES and connection not in port.upstreams.idle
 
 
+def test_partly_received_response_is_charged_until_its_connection_has_ended(port):
+    server = make_server(port)
+    attempts = start_attempts(port, (make_request(port), server), (make_request(port), server))
+    for connection in port.dialled:
+        connect(port, connection)
+        receive(port, connection, b"*3\r\n$60000\r\n" + b"x" * 30_000)
+    assert port.upstreams.partial_bytes >= 2 * 30_000
+    receive(port, port.dialled[0], b"x" * 30_000 + b"\r\n$-1\r\n$-1\r\n")
+    one_response = port.upstreams.partial_bytes
+    assert 30_000 <= one_response < 2 * 68 * 1024
+    run_event(port, port.cancel_attempt, attempts[1])
+    assert port.upstreams.partial_bytes == one_response  # Its thread has not ended yet.
+    run_event(port, port.upstreams.on_closed, port.dialled[1])
+    assert port.upstreams.partial_bytes == 0
+
+
 def test_cancelled_attempt_closes_its_connection_before_the_next_is_dialled(port):
     server, other_server, request = make_server(port), make_server(port, 2), make_request(port)
     (attempt,) = start_attempts(port, (request, server))
