Bytes that a client leaves unread in its stream's buffer are charged to the memory

Change: the stream reports that its peer does not read; its buffer counts until it is written or the connection has ended, and is not filled further.

--- a/brookhub/program/limits.py
+++ b/brookhub/program/limits.py
@@ -22,7 +22,7 @@
 MIN_DATA_SHARE = 0.25  # Minimum share of the configured memory that is assumed to be left for the rest.
 CONNECTION_BYTES = 20 * 1024  # The thread and the objects of a connection, without data.
 
-# Shares of the memory that the process itself leaves; the whole in sum, as responses may exceed theirs by half
+# Shares of the memory that the process itself leaves. Their sum is 1, with the responses above theirs.
 CONNECTION_SHARE = 0.4  # Limit of the connections to clients and servers, without data.
 CLIENT_UNREAD_SHARE = 0.005  # Limit of the unread responses to one client.
 # Limit of the unread responses to all clients plus the bodies of their requests. Values that are being
--- a/brookhub/routing/client_connection.py
+++ b/brookhub/routing/client_connection.py
@@ -105,7 +105,7 @@
     """
 
     def __init__(self, owner: ClientConnectionOwner, sock: socket.socket) -> None:
-        self.stream = Stream(sock, resp.BUFFER_BYTES, self._on_drained)
+        self.stream = Stream(sock, resp.BUFFER_BYTES, self._on_drained, self._on_blocked)
         self.input = CommandInput(self.stream.inbound, owner.decoder, owner.input_memory)
         self.pending_responses: deque[PendingResponse] = deque()  # In the order of the requests.
         # Monotonic time in seconds. Until the first command, the time at which the connection was accepted.
@@ -116,7 +116,9 @@
         self.is_closed = False  # Closed, or about to be aborted: no further responses are written.
         self._owner = owner
         self._responses_written = 0
-        self._is_write_blocked = False  # A response waits for space in the stream's buffer.
+        # The stream's buffer is full, or the client does not read: no response is added to the buffer.
+        self._is_write_blocked = False
+        self.unwritten_bytes = 0  # Size of the stream's buffer, as far as it is counted as memory.
 
     # The connection's thread
 
@@ -138,7 +140,7 @@
         stream.close()
         self.input.close()
         loop.run(monotonic(), self.on_closed)
-        stream.on_drained = None  # Breaks the reference cycle between stream and connection.
+        stream.on_drained = stream.on_blocked = None  # Breaks the reference cycle with the connection.
         seconds = monotonic() - started_at
         self._owner.log_closed(
             "client", stream.close_reason or reason, None, seconds, self._responses_written
@@ -238,6 +240,8 @@
 
     def _write_responses(self) -> None:
         """Pass completed responses to the stream, in the order of their requests."""
+        if self.stream.blocked_since is not None:
+            return  # Continues when the buffer is drained, so that no more memory is used in the buffer.
         if self._is_write_blocked:
             self._is_write_blocked = False
             self._owner.on_write_resumed(self)
@@ -257,6 +261,13 @@
         if not responses:
             self._owner.on_all_responses_written(self)
 
+    def on_blocked(self) -> None:
+        """Count the bytes in the stream's buffer, as the client does not read them."""
+        if not self.is_closed:
+            self._is_write_blocked = True
+            self.unwritten_bytes = self.stream.bytes_queued - self.stream.bytes_written
+            self._owner.on_write_blocked(self)
+
     def _enqueue(self, parts: deque[bytes | bytearray | memoryview]) -> bool:
         """Move as many bytes of `parts` to the stream as fit; return whether all did."""
         while parts:
@@ -296,6 +307,10 @@
 
     # Without the lock
 
+    def _on_blocked(self) -> None:
+        """Handle the client's not reading, before another thread goes on writing."""
+        self._owner.loop.run(monotonic(), self.on_blocked)
+
     def _on_drained(self) -> None:
         """Resume writing after the stream's buffer became empty."""
         if self._is_write_blocked:
--- a/brookhub/routing/clients.py
+++ b/brookhub/routing/clients.py
@@ -170,6 +170,7 @@
     def on_closed(self, connection: ClientConnection) -> None:
         """Remove a closed connection and fail its open requests, as its client waits for no response."""
         self.table.remove_connection(connection)
+        self._release_unwritten(connection)
         # Before the requests fail: responses to a closed connection are not counted, so they must not be
         # subtracted.
         self.usage.response_bytes -= connection.discard_responses()
@@ -292,12 +293,19 @@
             self.disconnect(oldest, CloseReason.MEMORY_LIMIT)
 
     def on_write_blocked(self, connection: ClientConnection) -> None:
-        """Record that a connection's stream has no space for the next response."""
+        """Record that a connection's stream has no space, and count what the client leaves unread in it."""
         self.table.write_blocked[connection] = None
+        self.usage.response_bytes += connection.unwritten_bytes
 
     def on_write_resumed(self, connection: ClientConnection) -> None:
-        """Record that a connection's stream has space again."""
+        """Record that a connection's stream has space again, as its buffer was written."""
         self.table.write_blocked.pop(connection, None)
+        self._release_unwritten(connection)
+
+    def _release_unwritten(self, connection: ClientConnection) -> None:
+        """Stop counting the bytes in a connection's stream."""
+        self.usage.response_bytes -= connection.unwritten_bytes
+        connection.unwritten_bytes = 0
 
     def _is_slow_reader(self, connection: ClientConnection) -> bool:
         """Return whether a client leaves more responses unread, and for longer, than its limits allow.
@@ -315,13 +323,14 @@
         The clients that have read nothing for the longest time are disconnected. If that does not free enough
         memory, the response is replaced by a failure: its client is owed an answer, whatever others hold.
         """
-        limit = MEMORY_OVERRUN * self.limits.max_unread_bytes
-        while self.usage.response_bytes > limit:
+        excess = self.usage.response_bytes - MEMORY_OVERRUN * self.limits.max_unread_bytes
+        while excess > 0:
             connection = self.table.find_longest_blocked(self.loop.now - MIN_BLOCKED_TIME)
             if connection is None:
                 break
+            excess -= connection.pending_bytes() + connection.unwritten_bytes
             self.disconnect(connection, CloseReason.SLOW_READER)
-        if self.usage.response_bytes > limit and not response.is_partly_written():
+        if excess > 0 and not response.is_partly_written():
             self.usage.response_bytes -= response.size_bytes
             response.replace(request_codec.ENCODED_FAILURE)
             self.usage.response_bytes += response.size_bytes
--- a/brookhub/transport/stream.py
+++ b/brookhub/transport/stream.py
@@ -43,6 +43,7 @@
         "inbound",
         "outbound",
         "on_drained",
+        "on_blocked",
         "is_flushing",
         "close_reason",
         "shutdown_reason",
@@ -53,14 +54,23 @@
     )
 
     def __init__(
-        self, sock: socket.socket, buffer_bytes: int, on_drained: Callable[[], object] | None = None
+        self,
+        sock: socket.socket,
+        buffer_bytes: int,
+        on_drained: Callable[[], object] | None = None,
+        on_blocked: Callable[[], object] | None = None,
     ) -> None:
-        """Wrap a socket. A flush that empties the queue calls `on_drained` without holding the lock."""
+        """Wrap a socket. Both callbacks are called without holding the lock.
+
+        A flush that empties the queue calls `on_drained`; one that finds that the peer does not read calls
+        `on_blocked`, before the rest is written by another thread.
+        """
         self.sock = sock
         self.lock = Lock()
         self.inbound = RingBuffer(buffer_bytes)
         self.outbound = RingBuffer(buffer_bytes)
         self.on_drained = on_drained
+        self.on_blocked = on_blocked
         self.is_flushing = False  # A thread is writing; it also writes bytes that are queued meanwhile.
         self.close_reason: CloseReason | None = None  # Set by the first `abort`.
         self.shutdown_reason: CloseReason | None = None  # Set by the first `shutdown_gracefully`.
@@ -205,6 +215,7 @@
                     return
                 continue
             is_owner_notified = True
+            self.blocked_since = None
             on_drained = self.on_drained  # The owner's thread may set it to None meanwhile.
             if on_drained:
                 on_drained()  # It may queue more bytes, which the next iteration writes.
@@ -243,6 +254,9 @@
             self.abort(CloseReason.SLOW_READER)
             return
         self.blocked_since = monotonic()
+        on_blocked = self.on_blocked  # The owner's thread may set it to None meanwhile.
+        if on_blocked:
+            on_blocked()
         if not start_thread(self._write_queued, 0):
             self.abort(CloseReason.NO_THREAD)
 
--- a/tests/test_response_memory.py
+++ b/tests/test_response_memory.py
@@ -50,6 +50,12 @@
             response = self.requests[number].response
             run_event(self.port, response.complete, *request_codec.encode_served(VALUE))
 
+    def block(self, connection, seconds=0.0):
+        """Let a connection's client have read nothing for `seconds`."""
+        connection.stream.is_full = True
+        connection.stream.blocked_since = self.port.now - seconds
+        run_event(self.port, connection.on_blocked)
+
     def check_after(self, seconds):
         run_event(self.port, self.clients.close_stale_connections, after=seconds)
 
@@ -89,8 +95,7 @@
         requests.connect(*range(20, 26)),
     )
     for connection in (over_limit, under_limit, reading):
-        connection.stream.is_full = True
-        connection.stream.blocked_since = requests.port.now
+        requests.block(connection)
     requests.answer(*range(6), *range(10, 12), *range(20, 26))
     requests.check_after(1.9)
     assert over_limit.stream.close_reason is None
@@ -107,8 +112,7 @@
     requests = open_requests(max_unread_bytes=9_000, max_unread_bytes_per_client=99_999)
     first, second, waiting = requests.connect(1, 2), requests.connect(11, 12), requests.connect(21, 22)
     for connection, seconds in ((first, 0.5), (second, 0.9)):
-        connection.stream.is_full = True
-        connection.stream.blocked_since = requests.port.now - seconds
+        requests.block(connection, seconds)
     requests.answer(1, 2, 11, 12)
     assert (first.stream.close_reason, second.stream.close_reason) == (None, None)
     requests.answer(22)
@@ -129,6 +133,29 @@
     assert connection.stream.enqueued == [served] * 5 + [failed] * 3
 
 
+def test_bytes_in_the_buffer_of_a_client_that_does_not_read_count_until_they_are_written(open_requests):
+    requests = open_requests(max_unread_bytes=99_999)
+    first, second = requests.connect(1, 2), requests.connect(11)
+    served = request_codec.encode_served(VALUE)[0]
+    for connection, number in ((first, 1), (second, 11)):
+        connection.stream.flush = lambda: None  # The client does not read.
+        requests.answer(number)
+        requests.block(connection)
+        connection.stream.is_full = False
+    assert requests.clients.usage.response_bytes == 2 * len(served)
+    requests.answer(2)
+    assert first.stream.enqueued == [served]  # The buffer is not filled further.
+    assert requests.clients.usage.response_bytes == 3 * len(served)
+    first.stream.blocked_since = None
+    first.stream.bytes_written = first.stream.bytes_queued
+    first._on_drained()
+    assert first.stream.enqueued == [served] * 2
+    run_event(requests.port, requests.clients.disconnect, second, "reset")
+    assert requests.clients.usage.response_bytes == len(served)  # Its buffer exists until its thread ends.
+    run_event(requests.port, second.on_closed)
+    assert requests.clients.usage.response_bytes == 0
+
+
 def test_client_that_sends_many_commands_at_once_gets_all_answers_in_order(started):
     value = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (VALUE_BYTES, b"x" * VALUE_BYTES)
     slow, quick = FakeServer([1.0]), [FakeServer([value] * COMMANDS) for _ in range(4)]
