--- a/brookhub/protocol/resp.py
+++ b/brookhub/protocol/resp.py
@@ -198,8 +198,10 @@
         if chunk[0] != ARRAY_TYPE or len(chunk) > MAX_LINE_BYTES:
             return None
         lines = bytes(chunk).split(LINE_END)
+    if lines.pop():
+        return None  # The last line is incomplete.
     items = lines[2::2]
-    if not 0 < len(items) <= MAX_ARRAY_LENGTH or lines.pop() or lines[0] != b"*%d" % len(items):
+    if not 0 < len(items) <= MAX_ARRAY_LENGTH or lines[0] != b"*%d" % len(items):
         return None
     if lines[1::2] != [b"$%d" % len(item) for item in items]:
         return None  # This includes items that contain a line end.
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -482,3 +482,14 @@
     assert registry.update([RegistryEntry(1, 0, 0, 0, ServerState.GONE, 1.0, 0.0)], False) == [
         listed_again
     ] and list(registry.servers.values()) == [second]
+
+
+@pytest.mark.parametrize("words", [[b"CALL.POST", b""], [b""], [b"", b""], [b"CALL.POST", b"", b"body"]])
+def test_command_with_an_empty_word_is_complete_only_with_its_last_byte(words):
+    data = resp.encode_command(*words)
+    for length in range(1, len(data)):
+        ring, reader = RingBuffer(resp.BUFFER_BYTES), resp.RespReader()
+        ring.append(data[:length])
+        assert list(reader.feed(ring)) == []
+        ring.append(data[length:])
+        assert list(reader.feed(ring)) == [words]
