A client that stops reading after it has read for a while counts as blocked, too

Cause, found by reading the change once more: a stream's writer thread that had emptied the queue and went on did not record that its next write waits for the peer, so such a client was no slow reader before 20 s, and its buffer was not charged. A response that completed just when the buffer became empty could also wait for the next event on its connection.

Change: the writer thread records it before each write that may block; the buffer is charged with its full size; responses are passed to the stream as long as they fit.

--- a/brookhub/routing/client_connection.py
+++ b/brookhub/routing/client_connection.py
@@ -82,11 +82,11 @@
     def on_input_memory_exhausted(self, connection: ClientConnection, size: int) -> None:
         """Close other connections to free `size` bytes of the memory for partly received commands."""
 
-    def on_write_blocked(self, connection: ClientConnection) -> None:
-        """Handle a connection whose stream has no space for the next response."""
+    def on_write_blocked(self, connection: ClientConnection, unwritten_bytes: int) -> None:
+        """Handle a connection whose stream is full, or whose client may leave `unwritten_bytes` in it."""
 
     def on_write_resumed(self, connection: ClientConnection) -> None:
-        """Handle a connection whose stream has space again."""
+        """Handle a connection whose stream is empty again."""
 
     def disconnect(self, connection: ClientConnection, reason: CloseReason) -> None:
         """Close the connection at once."""
@@ -116,9 +116,8 @@
         self.is_closed = False  # Closed, or about to be aborted: no further responses are written.
         self._owner = owner
         self._responses_written = 0
-        # The stream's buffer is full, or the client does not read: no response is added to the buffer.
-        self._is_write_blocked = False
-        self.unwritten_bytes = 0  # Size of the stream's buffer, as far as it is counted as memory.
+        self._is_write_blocked = False  # The stream's buffer is full, or the client may not be reading it.
+        self.unwritten_bytes = 0  # Size of the stream's buffer, while it is counted as memory.
 
     # The connection's thread
 
@@ -240,11 +239,6 @@
 
     def _write_responses(self) -> None:
         """Pass completed responses to the stream, in the order of their requests."""
-        if self.stream.blocked_since is not None:
-            return  # Continues when the buffer is drained, so that no more memory is used in the buffer.
-        if self._is_write_blocked:
-            self._is_write_blocked = False
-            self._owner.on_write_resumed(self)
         responses = self.pending_responses
         while responses and not self.is_closed:
             response = responses[0]
@@ -252,7 +246,7 @@
                 break
             if not self._enqueue(response.parts):
                 self._is_write_blocked = True
-                self._owner.on_write_blocked(self)
+                self._owner.on_write_blocked(self, 0)
                 break
             responses.popleft()
             self._owner.on_response_written(response)
@@ -262,11 +256,16 @@
             self._owner.on_all_responses_written(self)
 
     def on_blocked(self) -> None:
-        """Count the bytes in the stream's buffer, as the client does not read them."""
+        """Count the stream's buffer as memory, at its maximum size, as the client does not read it."""
         if not self.is_closed:
             self._is_write_blocked = True
-            self.unwritten_bytes = self.stream.bytes_queued - self.stream.bytes_written
-            self._owner.on_write_blocked(self)
+            self._owner.on_write_blocked(self, resp.BUFFER_BYTES)
+
+    def on_drained(self) -> None:
+        """Resume writing after the stream's buffer became empty."""
+        self._is_write_blocked = False
+        self._owner.on_write_resumed(self)
+        self._write_responses()
 
     def _enqueue(self, parts: deque[bytes | bytearray | memoryview]) -> bool:
         """Move as many bytes of `parts` to the stream as fit; return whether all did."""
@@ -312,6 +311,6 @@
         self._owner.loop.run(monotonic(), self.on_blocked)
 
     def _on_drained(self) -> None:
-        """Resume writing after the stream's buffer became empty."""
+        """Handle the stream's buffer having become empty."""
         if self._is_write_blocked:
-            self._owner.loop.run(monotonic(), self._write_responses)
+            self._owner.loop.run(monotonic(), self.on_drained)
--- a/brookhub/routing/client_table.py
+++ b/brookhub/routing/client_table.py
@@ -18,14 +18,14 @@
 class ClientTable:
     """All open connections of clients. Guarded by the event loop's lock.
 
-    Each connection is in `connections`, and in at most one of `idle`, `without_command` and `write_blocked`.
+    Each connection is in `connections`, and in at most one of `idle` and `without_command`.
     """
 
     def __init__(self) -> None:
         self.connections: OrderedConnections = {}
         self.idle: OrderedConnections = {}  # Connections without an open request.
         self.without_command: OrderedConnections = {}  # Connections that have not sent a complete command.
-        self.write_blocked: OrderedConnections = {}  # Connections without space for their next response.
+        self.write_blocked: OrderedConnections = {}  # Connections whose clients may not be reading.
 
     def add_connection(self, connection: ClientConnection, now: float) -> None:
         """Add a connection that was just accepted."""
--- a/brookhub/routing/clients.py
+++ b/brookhub/routing/clients.py
@@ -292,13 +292,15 @@
             size -= oldest.input.reserved_bytes
             self.disconnect(oldest, CloseReason.MEMORY_LIMIT)
 
-    def on_write_blocked(self, connection: ClientConnection) -> None:
-        """Record that a connection's stream has no space, and count what the client leaves unread in it."""
+    def on_write_blocked(self, connection: ClientConnection, unwritten_bytes: int) -> None:
+        """Record a connection whose client may not be reading, and count `unwritten_bytes` in its stream."""
         self.table.write_blocked[connection] = None
-        self.usage.response_bytes += connection.unwritten_bytes
+        if not connection.unwritten_bytes:
+            connection.unwritten_bytes = unwritten_bytes
+            self.usage.response_bytes += unwritten_bytes
 
     def on_write_resumed(self, connection: ClientConnection) -> None:
-        """Record that a connection's stream has space again, as its buffer was written."""
+        """Record that a connection's stream was written."""
         self.table.write_blocked.pop(connection, None)
         self._release_unwritten(connection)
 
--- a/brookhub/transport/stream.py
+++ b/brookhub/transport/stream.py
@@ -62,8 +62,9 @@
     ) -> None:
         """Wrap a socket. Both callbacks are called without holding the lock.
 
-        A flush that empties the queue calls `on_drained`; one that finds that the peer does not read calls
-        `on_blocked`, before the rest is written by another thread.
+        A flush that empties the queue calls `on_drained`. `on_blocked` is called before the rest of the queue
+        is written by a thread that waits for the peer, and again whenever that thread goes on after the queue
+        was empty.
         """
         self.sock = sock
         self.lock = Lock()
@@ -211,6 +212,8 @@
                     is_owner_notified = self.on_drained is None
                     self.bytes_maybe_written = self.bytes_written + len(chunk)
             if has_queued_bytes:
+                if not flags:  # The next write blocks.
+                    self._mark_blocked()
                 if not self._send(chunk, flags):
                     return
                 continue
@@ -253,12 +256,18 @@
         if not flags:  # This was a blocking write, and the socket's write timeout has passed.
             self.abort(CloseReason.SLOW_READER)
             return
+        self._mark_blocked()
+        if not start_thread(self._write_queued, 0):
+            self.abort(CloseReason.NO_THREAD)
+
+    def _mark_blocked(self) -> None:
+        """Record that the queued bytes may have to wait for the peer."""
+        if self.blocked_since is not None:
+            return
         self.blocked_since = monotonic()
         on_blocked = self.on_blocked  # The owner's thread may set it to None meanwhile.
         if on_blocked:
             on_blocked()
-        if not start_thread(self._write_queued, 0):
-            self.abort(CloseReason.NO_THREAD)
 
     # Closing
 
