--- a/brookhub/coordination/failure_evidence.py
+++ b/brookhub/coordination/failure_evidence.py
@@ -17,9 +17,9 @@
 # the time.
 COMMON_SLOW_SHARE = 0.02
 SLOW_WINDOW_SECONDS = 10.0
-# Attempts at other servers by which the share is judged in the first SLOW_WINDOW_SECONDS: with fewer ones,
-# a share of COMMON_SLOW_SHARE may not have shown yet.
-MIN_JUDGED_ATTEMPTS = round(1 / COMMON_SLOW_SHARE)
+# Attempts at other servers by which the share is judged in the first SLOW_WINDOW_SECONDS: as many as contain
+# three slow ones at a share of COMMON_SLOW_SHARE, so that a higher share has shown with near certainty.
+MIN_JUDGED_ATTEMPTS = round(3 / COMMON_SLOW_SHARE)
 MAX_RECORDED_ATTEMPTS = 500  # Bounds the work for each attempt that was too slow.
 
 
