Review case 7: show that new connections wait, with fewer bad clients

Seen: all lost requests are the first on a new connection, which waits for the accepting thread and for its own behind the bad clients' threads. With a quarter of the usual requests on new connections, 120 bad clients with 200 commands at once are enough (before: 200 with 300).

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -27,17 +27,18 @@
     run_case,
 )
 
-BAD_CLIENTS = 200
-COMMANDS_AT_ONCE = 300
+BAD_CLIENTS = 120
+COMMANDS_AT_ONCE = 200
 BAD_SECONDS = 15.0
 USUAL_CONNECTIONS = 30
+NEW_SHARE = 0.25  # Share of the requests that come on a new connection: "connections are always new".
 CALLS_PER_S = 40.0
 D_MS = {"fetch": 2000, "list": 4000, "submit": 4000}  # Half of each client timeout.
 SLACK_S = 0.5 + 0.05  # "Up to half a second after its time it only earns nothing"; 50 ms more on sockets.
 
 
 async def send_usual_load(gateway: Gateway, ids: Ids, record: Record, seconds: float) -> list[Call]:
-    """Send the usual clients' requests for some seconds, each on an idle connection; return them."""
+    """Send the usual clients' requests for some seconds, some on new connections; return them."""
     chance = random.Random(7)
     connections = [await Connection.open(gateway.port, record) for _ in range(USUAL_CONNECTIONS)]
     calls: list[Call] = []
@@ -45,11 +46,13 @@
     while monotonic() < until:
         connections = [connection for connection in connections if connection.ended_at is None]
         idle = [connection for connection in connections if not connection.waiting]
-        if not idle:
+        is_new = not idle or chance.random() < NEW_SHARE
+        if is_new:
             idle = [await Connection.open(gateway.port, record)]
             connections += idle
         route = chance.choice(list(D_MS))
         call = make_call(ids, route, customer=100 + chance.randrange(500), d_ms=D_MS[route])
+        call.is_first = is_new
         chance.choice(idle).send(call)
         calls.append(call)
         await asyncio.sleep(chance.expovariate(CALLS_PER_S))
@@ -59,13 +62,8 @@
 
 def judge(calls: list[Call], attempts: dict[bytes, list[Attempt]], record: Record) -> dict[str, int]:
     """Count how the usual clients' requests ended."""
-    counts = {
-        "answered in time": 0,
-        "answered too late": 0,
-        "closed": 0,
-        "closed but forwarded": 0,
-        "never answered": 0,
-    }
+    ends = ("answered in time", "answered too late", "closed", "closed but forwarded", "never answered")
+    counts = dict.fromkeys((*ends, "lost on a new connection"), 0)
     for call in calls:
         waited = (call.answered_at or call.ended_at or monotonic()) - call.sent_at
         if call.answered_at is not None:
@@ -76,6 +74,7 @@
         else:
             end = "never answered"
         counts[end] += 1
+        counts["lost on a new connection"] += call.is_first and end in ("answered too late", "never answered")
         if end != "answered in time":
             record.write("judge", f"{call.request.decode()} d={call.d_ms} {end} after {waited:.3f}")
     return counts
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -439,7 +439,7 @@
     answer: Reply = NEVER_ANSWERED
     answered_at: float | None = None
     ended_at: float | None = None  # When its connection ended without an answer.
-    resent: bool = False
+    is_first: bool = False  # The first on its connection.
     command: bytes = b""
     done: asyncio.Event = field(default_factory=asyncio.Event)
 
