--- a/review/8/case.py
+++ b/review/8/case.py
@@ -73,4 +73,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(Path(__file__).parent, case))
+    sys.exit(run_case(Path(__file__).with_name("record.txt"), case))
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -563,10 +563,10 @@
         return found
 
 
-def run_case(folder: Path, case: Callable[[Path, Record, bool], Awaitable[bool]]) -> int:
+def run_case(record_path: Path, case: Callable[[Path, Record, bool], Awaitable[bool]]) -> int:
     """Run a case in a temporary folder; return the exit code: 1 broken, 0 held, 2 could not run."""
     with_trouble = os.environ.get("TROUBLE") != "0"
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     code = 2
     with tempfile.TemporaryDirectory() as temporary:
         try:
