A draining connection is shut down only when all that has arrived on it is handled

Cause: on_commands tested is_closing once, before its loop; the drain took 'no open request' for 'nothing more to handle'. Reading was outside the lock, so bytes read and not yet handled looked like none. Requests that arrived after the last ones were failed were still forwarded. Change: the event reads under the lock, at most 32 commands; a shutdown comes after the last one. Requests of a closed connection fail in events of 32. The time that bytes wait in the process is taken off a request's time; a request whose time is over by then is rejected.

--- a/brookhub/routing/client_connection.py
+++ b/brookhub/routing/client_connection.py
@@ -5,6 +5,7 @@
 import socket
 from collections import deque
 from itertools import islice, takewhile
+from math import inf
 from time import monotonic
 from typing import Protocol
 
@@ -91,8 +92,11 @@
     def disconnect(self, connection: ClientConnection, reason: CloseReason) -> None:
         """Close the connection at once."""
 
-    def fail_requests_of(self, connection: ClientConnection) -> None:
-        """Have the policy finish the open requests of a connection whose client has left."""
+    def on_input_handled(self, connection: ClientConnection) -> None:
+        """Handle a connection without an open request whose received commands are handled."""
+
+    def fail_requests_of(self, connection: ClientConnection) -> bool:
+        """Have the policy finish open requests of a connection; return whether some may remain."""
 
     def on_closed(self, connection: ClientConnection) -> None:
         """Handle a connection that is closed and whose descriptor was released."""
@@ -115,6 +119,11 @@
         self.is_closing = False  # No further commands are read.
         self.is_closed = False  # Closed, or about to be aborted: no further responses are written.
         self._owner = owner
+        self._arrived_at = inf  # Monotonic time in seconds by which the bytes being handled had arrived.
+        self._has_unread_bytes = False  # The last read may have left bytes unread.
+        self._is_input_ended = False  # Nothing more is read from the client.
+        self._is_handling_commands = False  # Further commands of the same event follow.
+        self._malformed_command: MalformedError | None = None  # To be answered after the open requests.
         self._responses_written = 0
         self._is_write_blocked = False  # The stream's buffer is full, or the client may not be reading it.
         self.unwritten_bytes = 0  # Size of the stream's buffer, while it is counted as memory.
@@ -132,13 +141,15 @@
         loop = self._owner.loop
         stream = self.stream
         started_at = monotonic()
-        reason = read_until_closed(stream.read, self._on_readable, loop.report_error)
+        reason = read_until_closed(stream.wait_for_bytes, self._on_readable, loop.report_error)
         if reason is CloseReason.CLOSED:
             reason = CloseReason.CLIENT_CLOSED
         stream.abort(stream.shutdown_reason or reason)
         stream.close()
         self.input.close()
         loop.run(monotonic(), self.on_closed)
+        while self.pending_responses:
+            loop.run(monotonic(), self.fail_next_requests)
         stream.on_drained = stream.on_blocked = None  # Breaks the reference cycle with the connection.
         seconds = monotonic() - started_at
         self._owner.log_closed(
@@ -146,59 +157,102 @@
         )
 
     def _on_readable(self, now: float) -> bool:
-        """Handle bytes received at `now` (seconds, monotonic); return whether to stop reading."""
-        if self.is_closing:
-            self.input.discard()
-            return False
-        commands: list[Command] = []
-        error = self.input.decode(commands, now)
-        if commands or error:
-            self._owner.loop.run(now, self.on_commands, commands, error)
-        if error or self.is_closed:
-            return True  # Bytes after malformed ones are not read, nor those of a client that has left.
-        missing = self.input.missing_bytes()
-        if not missing or self.input.reserve(missing, 0):
-            return False
-        return not self._wait_for_input_memory(missing)
-
-    def _wait_for_input_memory(self, size: int) -> bool:
+        """Handle bytes that arrived by `now` (seconds, monotonic); return whether to stop reading."""
+        loop = self._owner.loop
+        while not self._is_input_ended:
+            loop.run(monotonic(), self.on_readable, now)
+            while self._malformed_command:
+                loop.run(monotonic(), self.answer_malformed_command)
+            missing = 0 if self._is_input_ended else self.input.missing_bytes()
+            if missing and not self.input.reserve(missing, 0):
+                self._wait_for_input_memory(missing)
+            if not self.input.may_have_commands:
+                break
+        return self._is_input_ended
+
+    def _wait_for_input_memory(self, size: int) -> None:
         """Have others closed that hold memory for commands, and reserve `size` bytes once they are freed."""
         loop = self._owner.loop
         loop.run(monotonic(), self._owner.on_input_memory_exhausted, self, size)
         deadline = monotonic() + MAX_INPUT_MEMORY_WAIT
         while not self.stream.close_reason and monotonic() < deadline:
             if self.input.reserve(size, INPUT_MEMORY_POLL_INTERVAL):
-                return True
+                return
         error = MalformedError("no memory for this command", CloseReason.MEMORY_LIMIT)
         loop.run(monotonic(), self.on_commands, [], error)
-        return False
+        while self._malformed_command:
+            loop.run(monotonic(), self.answer_malformed_command)
 
     # Events, under the event loop's lock
 
+    def on_readable(self, arrived_at: float) -> None:
+        """Read bytes that arrived by `arrived_at` (seconds, monotonic), and handle the commands in them.
+
+        Only this event reads from the socket, so that the holder of the lock knows all bytes that were read
+        as handled. It handles as many commands as are decoded at a time; `CommandInput.may_have_commands`
+        tells whether to run it again.
+        """
+        if not self.is_closing and self.has_left():
+            # The client waits for no response: its requests are not forwarded.
+            self._is_input_ended = self.is_closed = True
+            return
+        if not self.input.may_have_commands:
+            if not self._has_unread_bytes:
+                self._arrived_at = arrived_at
+            self._read_available()
+        if self.is_closing:
+            self.input.discard()
+            return
+        commands: list[Command] = []
+        error = self.input.decode(commands, self._owner.loop.now)
+        if commands or error:
+            self.on_commands(commands, error)
+        if not self.pending_responses and not self.is_closing:
+            self._owner.on_input_handled(self)
+
+    def _read_available(self) -> None:
+        """Read the bytes that have arrived, or as many as the buffer takes."""
+        try:
+            is_open = self.stream.read_available(0)
+        except BlockingIOError:
+            is_open = True
+        except OSError:
+            is_open = False
+        self._is_input_ended = not is_open
+        self._has_unread_bytes = self.stream.inbound.is_full()
+
     def on_commands(self, commands: list[Command], error: MalformedError | None) -> None:
         """Handle commands in their order, then close the connection if malformed bytes followed (`error`)."""
         if self.is_closing:
             return  # Sent while this side was closing: the client retries on another connection.
-        if self.has_left():
-            self.is_closed = True  # It waits for no response: its requests are not forwarded.
-            return
         self._owner.check_suspension()
-        delay = self.suspension_delay
+        suspension = self.suspension_delay
         self.suspension_delay = 0.0
-        if delay and any(isinstance(item, ParsedRequest) and item.time_left <= delay for item in commands):
+        if suspension and any(is_request_with_less_time(command, suspension) for command in commands):
             self._owner.disconnect(self, CloseReason.DEADLINE_PASSED)
             return
+        delay = max(suspension, self._owner.loop.now - self._arrived_at)
+        self._is_handling_commands = True
         for command in commands:
-            if isinstance(command, ParsedRequest):
-                self._handle_request(command, delay)
-            elif isinstance(command, InvalidCommand):
-                self._add_response().complete(command.reply)
-            elif self._owner.is_ready():
-                self._add_response().complete(resp.PONG)
-            else:
-                self._add_response().complete(resp.encode_error("ERR not ready yet"))
-        if error:
+            if self.is_closing:
+                break
+            self._handle_command(command, delay)
+        self._is_handling_commands = False
+        if error and not self.is_closing:
             self._on_malformed_command(error)
+        elif not self.pending_responses:
+            self._owner.on_all_responses_written(self)
+
+    def _handle_command(self, command: Command, delay: float) -> None:
+        """Handle one command, which has been unread for `delay` seconds."""
+        if isinstance(command, ParsedRequest):
+            self._handle_request(command, delay)
+        elif isinstance(command, InvalidCommand):
+            self._add_response().complete(command.reply)
+        elif self._owner.is_ready():
+            self._add_response().complete(resp.PONG)
+        else:
+            self._add_response().complete(resp.encode_error("ERR not ready yet"))
 
     def _handle_request(self, parsed: ParsedRequest, delay: float) -> None:
         """Pass a request to the policy; an internal error fails this request alone."""
@@ -210,9 +264,17 @@
             response.complete(request_codec.ENCODED_FAILURE)
 
     def _on_malformed_command(self, error: MalformedError) -> None:
-        """Fail all open requests, and close the connection once the responses are written."""
-        self._owner.fail_requests_of(self)
-        self.is_closing = True
+        """Stop reading, fail the open requests, and close the connection once the responses are written."""
+        self._is_input_ended = self.is_closing = True
+        self._malformed_command = error
+        self.answer_malformed_command()
+
+    def answer_malformed_command(self) -> None:
+        """Fail some open requests, or all of a few; once none is open, answer the malformed command."""
+        error = self._malformed_command
+        if error is None or self._owner.fail_requests_of(self):
+            return
+        self._malformed_command = None
         self._add_response().complete(resp.encode_error(f"ERR {error}"))
         self._owner.loop.defer(self.stream.shutdown_gracefully, error.reason)
 
@@ -260,7 +322,7 @@
             self._owner.on_response_written(response)
             self._responses_written += 1
         self._owner.loop.defer(self.stream.flush)
-        if not responses:
+        if not responses and not self._is_handling_commands:
             self._owner.on_all_responses_written(self)
 
     def on_blocked(self) -> None:
@@ -289,7 +351,16 @@
     def on_closed(self) -> None:
         """Finish the open requests, after the connection was closed and its descriptor released."""
         self._owner.on_closed(self)
-        self.pending_responses.clear()
+        self.fail_next_requests()
+
+    def fail_next_requests(self) -> None:
+        """Finish some of the open requests of a closed connection, so that the event is short."""
+        if not self._owner.fail_requests_of(self):
+            self.pending_responses.clear()
+
+    def has_unhandled_input(self) -> bool:
+        """Return whether bytes have arrived that are not handled, other than a partly read command."""
+        return self.input.may_have_commands or self.stream.has_unread_bytes()
 
     def pending_bytes(self) -> int:
         """Return the total size of the completed responses that are not yet fully passed to the stream."""
@@ -322,3 +393,8 @@
         """Handle the stream's buffer having become empty."""
         if self._is_write_blocked:
             self._owner.loop.run(monotonic(), self.on_drained)
+
+
+def is_request_with_less_time(command: Command, seconds: float) -> bool:
+    """Return whether a command is a request whose client waits for at most `seconds`."""
+    return isinstance(command, ParsedRequest) and command.time_left <= seconds
--- a/brookhub/routing/clients.py
+++ b/brookhub/routing/clients.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import islice
 from time import monotonic
 
 from ..protocol import request_codec, resp
@@ -24,6 +25,7 @@
 from .request_decoder import RequestDecoder
 from .suspension import SuspensionDetector
 
+MAX_REQUESTS_FAILED_PER_EVENT = 32
 CHECKS_PER_TIMEOUT = 8  # Number of checks for stale connections during one `first_request_timeout`.
 # Multiple of `max_unread_bytes` above which clients that do not read their responses are disconnected, and
 # further responses that cannot be written at once are replaced by failures.
@@ -168,13 +170,12 @@
         )
 
     def on_closed(self, connection: ClientConnection) -> None:
-        """Remove a closed connection and fail its open requests, as its client waits for no response."""
+        """Remove a closed connection. The caller has its open requests finished afterwards."""
         self.table.remove_connection(connection)
         self._release_unwritten(connection)
         # Before the requests fail: responses to a closed connection are not counted, so they must not be
         # subtracted.
         self.usage.response_bytes -= connection.discard_responses()
-        self.fail_requests_of(connection)
 
     # Periodic checks
 
@@ -224,6 +225,9 @@
         if parsed.request_id in self.open_request_ids:
             response.complete(resp.encode_error("ERR the id is that of another open call"))
             return
+        if parsed.time_left <= delay:
+            response.complete(request_codec.encode_rejected(0.0))
+            return
         if self._exceeds_request_limits(parsed):
             response.complete(request_codec.encode_rejected(0.0))
             return
@@ -271,13 +275,22 @@
 
     def on_all_responses_written(self, connection: ClientConnection) -> None:
         """Mark a connection without an open request as idle, or close it if this gateway is draining."""
-        if connection.is_closed or connection.is_closing:
+        if connection.is_closed or connection.is_closing or connection.input.may_have_commands:
             return
         if self._is_draining:
-            self._shutdown_gracefully(connection)
+            self.on_input_handled(connection)
         else:
             self.table.mark_idle(connection, self.loop.now)
 
+    def on_input_handled(self, connection: ClientConnection) -> None:
+        """Close a connection without an open request if this gateway is draining.
+
+        Not before all that has arrived on it is handled: a request that was read is answered.
+        """
+        if self._is_draining and not connection.is_closed and not connection.has_unhandled_input():
+            self.table.mark_active(connection)
+            self._shutdown_gracefully(connection)
+
     # Memory
 
     def on_input_memory_exhausted(self, connection: ClientConnection, size: int) -> None:
@@ -347,17 +360,31 @@
         """Close each connection once all commands received on it are answered."""
         self._is_draining = True
         for connection in list(self.table.iterate_without_open_request()):
-            if not connection.stream.has_unread_bytes():
-                self._shutdown_gracefully(connection)
-                self.table.mark_active(connection)
+            self.on_input_handled(connection)
+
+    def fail_requests_of(self, connection: ClientConnection) -> bool:
+        """Have the policy finish open requests of a connection; return whether some may remain.
 
-    def fail_requests_of(self, connection: ClientConnection) -> None:
-        """Have the policy finish the open requests of a connection whose client has left."""
-        for response in list(connection.pending_responses):
-            if response.parts is None and response.request:
-                self.loop.gateway.on_client_disconnected(response.request)
+        At most MAX_REQUESTS_FAILED_PER_EVENT are finished, so that no client sets the event's length.
+        """
+        unanswered = (response for response in connection.pending_responses if response.parts is None)
+        some = list(islice(unanswered, MAX_REQUESTS_FAILED_PER_EVENT))
+        for response in some:
+            try:
+                if response.request:
+                    self.loop.gateway.on_client_disconnected(response.request)
+            except Exception as error:  # The other requests still have to be finished.
+                self.loop.defer(self.loop.report_error, error)
+            response.complete(request_codec.ENCODED_FAILURE)  # Unless the policy has answered it.
+        return len(some) == MAX_REQUESTS_FAILED_PER_EVENT
 
     def fail_open_requests(self) -> None:
-        """Have the policy finish all open requests, because the program is about to exit."""
+        """Have the policy finish all open requests, because the program is about to exit.
+
+        No further request is handled, because it could not be answered any more.
+        """
         for connection in list(self.table.connections):
-            self.fail_requests_of(connection)
+            connection.is_closing = True
+            while self.fail_requests_of(connection):
+                pass
+            self.loop.defer(connection.stream.shutdown_gracefully, CloseReason.DRAINING)
--- a/brookhub/routing/command_input.py
+++ b/brookhub/routing/command_input.py
@@ -11,31 +11,41 @@
 # Bytes of a partly received command for which no memory is reserved: most commands never need more.
 FREE_BYTES = 6144
 
+MAX_COMMANDS_PER_EVENT = 32  # Maximum commands decoded at a time, so that no client sets an event's length.
+
 
 class CommandInput:
     """The commands of one connection. Used by the connection's thread only.
 
     Other threads may read `reserved_bytes`, the memory reserved for the partly received command, and
     `command_began_at`, the monotonic time in seconds at which its first bytes arrived (None without one).
+    Under the event loop's lock, `may_have_commands` tells whether further complete commands may be in the
+    buffer.
     """
 
     def __init__(self, buffer: RingBuffer, decoder: RequestDecoder, memory: InputMemory) -> None:
         """Decode the bytes that are read into `buffer`."""
         self.reserved_bytes = 0
         self.command_began_at: float | None = None
+        self.may_have_commands = False
         self._buffer = buffer
         self._reader = resp.RespReader()
         self._decoder = decoder
         self._memory = memory
 
     def decode(self, commands: list[Command], now: float) -> MalformedError | None:
-        """Append all complete commands to `commands`; return the error if malformed bytes follow them.
+        """Append complete commands to `commands`; return the error if malformed bytes follow them.
 
-        `now`: monotonic time in seconds at which the last bytes arrived.
+        At most MAX_COMMANDS_PER_EVENT are appended. `now`: monotonic time in seconds at which the last bytes
+        arrived.
         """
+        self.may_have_commands = False
         try:
             for value in self._reader.feed(self._buffer):
                 commands.append(self._decoder.decode(value))
+                if len(commands) >= MAX_COMMANDS_PER_EVENT:
+                    self.may_have_commands = len(self._buffer) > 0
+                    break
         except MalformedError as error:
             return error
         if self._reader.is_idle() and not len(self._buffer):
@@ -46,6 +56,7 @@
 
     def discard(self) -> None:
         """Discard the received bytes."""
+        self.may_have_commands = False
         self._buffer.consume(len(self._buffer))
 
     def missing_bytes(self) -> int:
--- a/brookhub/transport/ring_buffer.py
+++ b/brookhub/transport/ring_buffer.py
@@ -27,6 +27,10 @@
         """Return the size that the storage may have after the next read into `writable_view()`."""
         return min(self.max_size, max(MIN_STORAGE_BYTES, 2 * len(self.storage)))
 
+    def is_full(self) -> bool:
+        """Return whether the storage has no free byte, so that the last read may have left bytes unread."""
+        return self.size >= len(self.storage)
+
     def clear(self) -> None:
         """Discard all bytes and free the storage."""
         self.storage = bytearray()
