Client connections, the listener and timers take turns by the time that each has used

Cause: nothing divided the process's time between connections, nor with accept. Events were short (3.7 ms at most).

--- a/brookhub/routing/client_connection.py
+++ b/brookhub/routing/client_connection.py
@@ -14,6 +14,7 @@
 from ..protocol.request_codec import ParsedRequest
 from ..transport.close_reason import CloseReason
 from ..transport.connection_slots import ConnectionSlots
+from ..transport.fair_lock import Flow
 from ..transport.stream import Stream
 from .client_request import PendingResponse
 from .command_input import CommandInput
@@ -119,6 +120,7 @@
         self.is_closing = False  # No further commands are read.
         self.is_closed = False  # Closed, or about to be aborted: no further responses are written.
         self._owner = owner
+        self._flow = Flow()
         self._arrived_at = inf  # Monotonic time in seconds by which the bytes being handled had arrived.
         self._has_unread_bytes = False  # The last read may have left bytes unread.
         self._is_input_ended = False  # Nothing more is read from the client.
@@ -147,9 +149,9 @@
         stream.abort(stream.shutdown_reason or reason)
         stream.close()
         self.input.close()
-        loop.run(monotonic(), self.on_closed)
+        loop.run_in_turn(self._flow, self.on_closed)
         while self.pending_responses:
-            loop.run(monotonic(), self.fail_next_requests)
+            loop.run_in_turn(self._flow, self.fail_next_requests)
         stream.on_drained = stream.on_blocked = None  # Breaks the reference cycle with the connection.
         seconds = monotonic() - started_at
         self._owner.log_closed(
@@ -160,9 +162,9 @@
         """Handle bytes that arrived by `now` (seconds, monotonic); return whether to stop reading."""
         loop = self._owner.loop
         while not self._is_input_ended:
-            loop.run(monotonic(), self.on_readable, now)
+            loop.run_in_turn(self._flow, self.on_readable, now)
             while self._malformed_command:
-                loop.run(monotonic(), self.answer_malformed_command)
+                loop.run_in_turn(self._flow, self.answer_malformed_command)
             missing = 0 if self._is_input_ended else self.input.missing_bytes()
             if missing and not self.input.reserve(missing, 0):
                 self._wait_for_input_memory(missing)
@@ -181,7 +183,7 @@
         error = MalformedError("no memory for this command", CloseReason.MEMORY_LIMIT)
         loop.run(monotonic(), self.on_commands, [], error)
         while self._malformed_command:
-            loop.run(monotonic(), self.answer_malformed_command)
+            loop.run_in_turn(self._flow, self.answer_malformed_command)
 
     # Events, under the event loop's lock
 
--- a/brookhub/routing/clients.py
+++ b/brookhub/routing/clients.py
@@ -14,6 +14,7 @@
 from ..site import GatewaySettings
 from ..transport.close_reason import CloseReason
 from ..transport.connection_slots import ConnectionSlots
+from ..transport.fair_lock import Flow
 from ..transport.sockets import set_blocking_timeouts
 from ..transport.threads import start_thread
 from .client_connection import MAX_RESPONSE_DELAY, ClientConnection
@@ -91,6 +92,7 @@
         self.input_memory = InputMemory(limits.max_input_bytes)
         self.slots = ConnectionSlots(limits.max_connections + limits.spare_connections)
         self._customers = CustomerRegistry()
+        self._accept_flow = Flow(is_urgent=True)
         self._check_interval = limits.first_request_timeout / CHECKS_PER_TIMEOUT
         self._suspension = SuspensionDetector(
             self._check_interval, first_check_by=port.now + limits.first_request_timeout
@@ -117,7 +119,7 @@
             self.slots.release()
             return
         connection = ClientConnection(self, sock)
-        self.loop.run(monotonic(), self.admit, connection)
+        self.loop.run_in_turn(self._accept_flow, self.admit, connection)
 
     def admit(self, connection: ClientConnection) -> None:
         """Admit a new connection; at the limit, evict another one for it or else refuse it."""
--- a/brookhub/routing/event_loop.py
+++ b/brookhub/routing/event_loop.py
@@ -8,12 +8,15 @@
 from time import monotonic
 from typing import TypeVarTuple
 
+from ..transport.fair_lock import FairLock, Flow
 from .timers import TimerCallback, TimerQueue
 
 Arguments = TypeVarTuple("Arguments")
 DeferredAction = tuple[Callable[..., object], tuple[object, ...]]  # A function and its arguments.
 ErrorReporter = Callable[[BaseException], None]
 
+MAX_TIMERS_PER_TURN = 32  # Timers that run at a time: clients decide how many are due together.
+
 
 class EventLoop:
     """Event loop that runs one event at a time under its lock, and then the actions that the event deferred.
@@ -22,7 +25,9 @@
     only: whatever connects, writes, closes or logs is passed to `defer`, and the thread that ran the event
     calls it once the lock is released.
 
-    `lock` guards all fields except `report_error`, and the state of all objects that handle events.
+    `lock` guards all fields except `report_error` and `turns`, and the state of all objects that handle
+    events. The threads whose work is set by clients (connections, the listener, timers) first wait for their
+    turn (`run_in_turn`), so that no client's commands keep others, or new connections, from the lock.
     """
 
     def __init__(self, report_error: ErrorReporter, timer_resolution: float) -> None:
@@ -32,6 +37,7 @@
         `timer_resolution`: minimum seconds that the timer thread sleeps.
         """
         self.lock = Lock()
+        self.turns = FairLock()
         self.now = monotonic()  # Time of the current event in seconds, monotonic; never decreases.
         self.report_error = report_error
         self.timers = TimerQueue(timer_resolution)
@@ -42,25 +48,51 @@
         """Run an event that happened at `now` (seconds, monotonic), then the actions that it deferred."""
         with self.lock:
             self._run_event(now, event, arguments)
-            deferred = self._deferred
-            self._deferred = []
+            deferred = self._take_deferred()
+        self._run_deferred(deferred)
+
+    def run_in_turn(self, flow: Flow, event: Callable[[*Arguments], object], *arguments: *Arguments) -> None:
+        """Run an event when it is the turn of `flow`, at the time at which it begins.
+
+        For the threads whose peers decide how much they have to do. The deferred actions are not part of the
+        turn, because some of them may block, such as writes to the log.
+        """
+        self.turns.acquire(flow)
+        try:
+            with self.lock:
+                self._run_event(monotonic(), event, arguments)
+                deferred = self._take_deferred()
+        finally:
+            self.turns.release(flow)
         self._run_deferred(deferred)
 
     def run_timers(self) -> None:
         """Run each timer when it is due. Runs in a thread of its own and never returns."""
-        timers = self.timers
+        flow = Flow(is_urgent=True)
         while True:
+            seconds = self._run_due_timers(flow)
+            if seconds > 0:
+                self.timers.wait_for_wake_up(seconds)
+
+    def _run_due_timers(self, flow: Flow) -> float:
+        """Run at most MAX_TIMERS_PER_TURN timers that are due; return the seconds to sleep, 0 if more are."""
+        timers = self.timers
+        self.turns.acquire(flow)
+        try:
             with self.lock:
                 timers.clear_wake_up()
                 now = monotonic()
-                while timers.next_due_at() <= now:
+                count = 0
+                while timers.next_due_at() <= now and count < MAX_TIMERS_PER_TURN:
                     self._run_event(now, timers.pop_next(), ())
                     now = monotonic()
-                deferred = self._deferred
-                self._deferred = []
-                seconds = timers.plan_next_wake_up(now)
-            self._run_deferred(deferred)
-            timers.wait_for_wake_up(seconds)
+                    count += 1
+                deferred = self._take_deferred()
+                seconds = timers.plan_next_wake_up(now) if timers.next_due_at() > now else 0.0
+        finally:
+            self.turns.release(flow)
+        self._run_deferred(deferred)
+        return seconds
 
     def current_time(self) -> float:
         """Return the time in seconds, monotonic; never earlier than that of an event that has begun.
@@ -94,6 +126,12 @@
         except Exception as error:  # Thread boundary: the error ends this event, not the thread.
             self._deferred.append((self.report_error, (error,)))
 
+    def _take_deferred(self) -> list[DeferredAction]:
+        """Return the actions deferred since the last call. Called under the lock."""
+        deferred = self._deferred
+        self._deferred = []
+        return deferred
+
     def _run_deferred(self, deferred: list[DeferredAction]) -> None:
         """Call the deferred actions. Called without the lock."""
         for action, arguments in deferred:
