Requests and responses are charged by object, and timers keep no answered request

Cause: memory was charged by text. A waiting reply took an object of about 1 KB, an open request 2.78 KiB, and an answered one 3.50 KiB until its deadline, as its timers kept it; nothing counted that. Change: waiting replies share one object; a waiting response counts 320 bytes and an open request 3 KiB more; timers refer to open requests only; a connection with waiting responses is not read while their memory is used up.

--- a/brookhub/model.py
+++ b/brookhub/model.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from math import inf
@@ -125,6 +126,7 @@
     sent: bool = False
     response_started: bool = False
     done: bool = False
+    cancel_deadline: Callable[[], None] | None = None  # Releases the deadline's timer; None without one.
 
 
 @dataclass(eq=False, slots=True)
--- a/brookhub/policy/answers.py
+++ b/brookhub/policy/answers.py
@@ -32,6 +32,9 @@
         request = pending.request
         pending.done = True
         request.pending = None
+        if pending.cancel_deadline:
+            pending.cancel_deadline()
+            pending.cancel_deadline = None
         if answer is Answer.SERVED:
             return
         is_safe = is_safe_anywhere(request.route) or not attempts_that_may_have_run(pending)
--- a/brookhub/policy/intake.py
+++ b/brookhub/policy/intake.py
@@ -10,6 +10,25 @@
 from .upstreams import Upstreams
 
 
+class DeadlineTimer:
+    """The timer of a request's deadline. Once it is cancelled, it keeps nothing of the request in memory."""
+
+    __slots__ = ("_pending", "_upstreams")
+
+    def __init__(self, upstreams: Upstreams, pending: PendingRequest) -> None:
+        self._upstreams = upstreams
+        self._pending: PendingRequest | None = pending
+
+    def cancel(self) -> None:
+        """Release the request, which has its final answer."""
+        self._pending = None
+
+    def expire(self) -> None:
+        """End the request at its deadline, unless it has its final answer."""
+        if self._pending:
+            self._upstreams.abort_request(self._pending)
+
+
 class IntakeFilter:
     """Filter that makes sure that each request gets exactly one final answer by its deadline."""
 
@@ -39,4 +58,6 @@
             self.quota.admit(pending)
         if not pending.done:
             time_left = max(0.0, request.deadline - self.port.now)
-            self.port.call_later(time_left, lambda: self.upstreams.abort_request(pending))
+            timer = DeadlineTimer(self.upstreams, pending)
+            pending.cancel_deadline = timer.cancel
+            self.port.call_later(time_left, timer.expire)
--- a/brookhub/policy/upstreams.py
+++ b/brookhub/policy/upstreams.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from typing import Protocol
+from weakref import ref
 
 from ..model import Answer, Attempt, Outcome, PendingRequest, Upstream
 from ..ports import AttemptPort, Clock
@@ -71,7 +72,8 @@
         attempt.upstream = upstream
         upstream.in_flight.append(attempt)
         self.limit.in_flight += 1
-        self.port.call_later(slow_threshold(attempt), lambda: self._cancel_if_slow(pending, attempt))
+        attempt_reference = ref(attempt)  # The timer must not keep the request in memory once it is answered.
+        self.port.call_later(slow_threshold(attempt), lambda: self._cancel_if_slow(attempt_reference()))
 
     def attempt_ended(self, attempt: Attempt, duration: float, answered: bool) -> None:
         """Handle the end of an attempt of `duration` seconds.
@@ -139,9 +141,12 @@
         elif outcome is Outcome.OK:
             self.limit.increase()
 
-    def _cancel_if_slow(self, pending: PendingRequest, attempt: Attempt) -> None:
+    def _cancel_if_slow(self, attempt: Attempt | None) -> None:
         """Cancel an attempt that has no result yet, if another server is expected to answer in time."""
-        if attempt.outcome or pending.done or pending.response_started:
+        pending = attempt.request.pending if attempt else None
+        if attempt is None or pending is None:
+            return  # The request has its final answer.
+        if attempt.outcome or pending.response_started:
             return
         if pending.loan or self.queue.waiting or not self.options.can_cancel:
             return
--- a/brookhub/routing/client_connection.py
+++ b/brookhub/routing/client_connection.py
@@ -6,7 +6,7 @@
 from collections import deque
 from itertools import islice, takewhile
 from math import inf
-from time import monotonic
+from time import monotonic, sleep
 from typing import Protocol
 
 from ..protocol import request_codec, resp
@@ -29,6 +29,7 @@
 
 MAX_INPUT_MEMORY_WAIT = 1.0  # Maximum seconds for which a client is not read because memory is used up.
 INPUT_MEMORY_POLL_INTERVAL = 0.05  # Seconds between checks whether a waiting connection was closed.
+RESPONSE_MEMORY_POLL_INTERVAL = 0.05  # Seconds between checks whether there is memory for responses.
 
 
 class ClientConnectionOwner(Protocol):
@@ -60,6 +61,9 @@
     def is_ready(self) -> bool:
         """Return whether this gateway can serve requests."""
 
+    def is_response_memory_used_up(self) -> bool:
+        """Return whether no more responses should wait. Any thread may call this without the lock."""
+
     def check_suspension(self) -> None:
         """Check whether this process was suspended; if so, set the `suspension_delay` of each connection."""
 
@@ -72,6 +76,9 @@
     def on_response_completed(self, response: PendingResponse, is_connected: bool) -> None:
         """Release what a finished request holds, and count the memory of its response."""
 
+    def on_response_grown(self, size: int) -> None:
+        """Count `size` more bytes of a response that waits."""
+
     def on_response_written(self, response: PendingResponse) -> None:
         """Stop counting the memory of a response that was passed to the stream."""
 
@@ -162,6 +169,7 @@
         """Handle bytes that arrived by `now` (seconds, monotonic); return whether to stop reading."""
         loop = self._owner.loop
         while not self._is_input_ended:
+            self._wait_for_response_memory()
             loop.run_in_turn(self._flow, self.on_readable, now)
             while self._malformed_command:
                 loop.run_in_turn(self._flow, self.answer_malformed_command)
@@ -172,6 +180,14 @@
                 break
         return self._is_input_ended
 
+    def _wait_for_response_memory(self) -> None:
+        """Wait, without reading on, while responses wait here and the memory for all of them is used up.
+
+        It ends at the latest when the open requests have ended, and the client reads their responses.
+        """
+        while self.pending_responses and self._owner.is_response_memory_used_up() and not self.has_left():
+            sleep(RESPONSE_MEMORY_POLL_INTERVAL)
+
     def _wait_for_input_memory(self, size: int) -> None:
         """Have others closed that hold memory for commands, and reserve `size` bytes once they are freed."""
         loop = self._owner.loop
@@ -250,11 +266,11 @@
         if isinstance(command, ParsedRequest):
             self._handle_request(command, delay)
         elif isinstance(command, InvalidCommand):
-            self._add_response().complete(command.reply)
+            self._reply(command.reply)
         elif self._owner.is_ready():
-            self._add_response().complete(resp.PONG)
+            self._reply(resp.PONG)
         else:
-            self._add_response().complete(resp.encode_error("ERR not ready yet"))
+            self._reply(resp.encode_error("ERR not ready yet"))
 
     def _handle_request(self, parsed: ParsedRequest, delay: float) -> None:
         """Pass a request to the policy; an internal error fails this request alone."""
@@ -264,6 +280,15 @@
         except Exception as error:  # Later requests on the connection are still handled.
             self._owner.loop.defer(self._owner.loop.report_error, error)
             response.complete(request_codec.ENCODED_FAILURE)
+        if response.parts and response is not self.pending_responses[0]:
+            self._merge_into_replies(response)
+
+    def _merge_into_replies(self, response: PendingResponse) -> None:
+        """Turn the immediate answer to the last request, which waits, into a reply without its own object."""
+        reply = b"".join(response.parts or ())
+        self.pending_responses.pop()
+        self._owner.on_response_written(response)
+        self._reply(reply)
 
     def _on_malformed_command(self, error: MalformedError) -> None:
         """Stop reading, fail the open requests, and close the connection once the responses are written."""
@@ -277,7 +302,7 @@
         if error is None or self._owner.fail_requests_of(self):
             return
         self._malformed_command = None
-        self._add_response().complete(resp.encode_error(f"ERR {error}"))
+        self._reply(resp.encode_error(f"ERR {error}"))
         self._owner.loop.defer(self.stream.shutdown_gracefully, error.reason)
 
     def _add_response(self) -> PendingResponse:
@@ -295,6 +320,13 @@
         """End the connection of a client that has left (`client_request.ResponseOwner`)."""
         self._owner.loop.defer(self.stream.abort, CloseReason.CLIENT_CLOSED)
 
+    def _reply(self, reply: bytes) -> None:
+        """Reply to a command that is no request, after all earlier responses."""
+        if self.pending_responses and self.pending_responses[-1].append_reply(reply):
+            self._owner.on_response_grown(len(reply))
+        else:
+            self._add_response().complete_reply(reply)
+
     def on_response_completed(self, response: PendingResponse) -> None:
         """Write a completed response after all earlier ones (`client_request.ResponseOwner`)."""
         owner = self._owner
@@ -316,7 +348,7 @@
             response = responses[0]
             if response.parts is None:
                 break
-            if not self._enqueue(response.parts):
+            if not self._enqueue(response):
                 self._is_write_blocked = True
                 self._owner.on_write_blocked(self, 0)
                 break
@@ -339,15 +371,17 @@
         self._owner.on_write_resumed(self)
         self._write_responses()
 
-    def _enqueue(self, parts: deque[bytes | bytearray | memoryview]) -> bool:
-        """Move as many bytes of `parts` to the stream as fit; return whether all did."""
+    def _enqueue(self, response: PendingResponse) -> bool:
+        """Move as many bytes of a completed response to the stream as fit; return whether all did."""
+        parts = response.parts
         while parts:
             part = parts[0]
             length = self.stream.enqueue_part(part)
+            response.is_partly_written = response.is_partly_written or length > 0
             if length < len(part):
                 parts[0] = memoryview(part)[length:]
                 return False
-            parts.popleft()
+            parts.pop(0)
         return True
 
     def on_closed(self) -> None:
--- a/brookhub/routing/clients.py
+++ b/brookhub/routing/clients.py
@@ -18,7 +18,7 @@
 from ..transport.sockets import set_blocking_timeouts
 from ..transport.threads import start_thread
 from .client_connection import MAX_RESPONSE_DELAY, ClientConnection
-from .client_request import ClientRequest, PendingResponse
+from .client_request import REQUEST_OBJECT_BYTES, ClientRequest, PendingResponse
 from .client_table import ClientTable, OrderedConnections
 from .connections import ConnectionLog
 from .input_memory import InputMemory
@@ -64,9 +64,9 @@
 class Clients:
     """All connections of clients. Implements `client_connection.ClientConnectionOwner`.
 
-    All methods except `on_accepted`, `start` and `_refuse` are called under the event loop's lock, which
-    guards all fields; the settings, `decoder` and the callbacks never change, and `slots` and `input_memory`
-    are thread-safe.
+    All methods except `on_accepted`, `start`, `is_response_memory_used_up` and `_refuse` are called under the
+    event loop's lock, which guards all fields; the settings, `decoder` and the callbacks never change, and
+    `slots` and `input_memory` are thread-safe.
     """
 
     def __init__(
@@ -252,25 +252,33 @@
         )
         response.request = request
         self.open_request_ids.add(parsed.request_id)
-        self.usage.request_bytes += parsed.size_bytes
+        self.usage.request_bytes += parsed.size_bytes + REQUEST_OBJECT_BYTES
         self.loop.gateway.on_request(request)
 
     def _exceeds_request_limits(self, parsed: ParsedRequest) -> bool:
         if len(self.open_request_ids) >= self.limits.max_open_requests:
             return True
         used_bytes = self.usage.request_bytes + self.usage.response_bytes
-        return used_bytes + parsed.size_bytes > self.limits.max_unread_bytes
+        return used_bytes + parsed.size_bytes + REQUEST_OBJECT_BYTES > self.limits.max_unread_bytes
+
+    def is_response_memory_used_up(self) -> bool:
+        """Return whether no more responses should wait. Any thread may call this without the lock."""
+        return self.usage.response_bytes > self.limits.max_unread_bytes
 
     def on_response_completed(self, response: PendingResponse, is_connected: bool) -> None:
         """Release a finished request's id and memory; its response takes memory until it is written."""
         request = response.request
         if request and request.parsed:
             self.open_request_ids.discard(request.id)
-            self.usage.request_bytes -= request.parsed.size_bytes
+            self.usage.request_bytes -= request.parsed.size_bytes + REQUEST_OBJECT_BYTES
             request.parsed = None  # It is not sent any more, but the policy may keep the request.
         if is_connected:
             self.usage.response_bytes += response.size_bytes
 
+    def on_response_grown(self, size: int) -> None:
+        """Count `size` more bytes of a response that waits."""
+        self.usage.response_bytes += size
+
     def on_response_written(self, response: PendingResponse) -> None:
         """Stop counting the memory of a response that was passed to its stream."""
         self.usage.response_bytes -= response.size_bytes
@@ -347,7 +355,7 @@
                 break
             excess -= connection.pending_bytes() + connection.unwritten_bytes
             self.disconnect(connection, CloseReason.SLOW_READER)
-        if excess > 0 and not response.is_partly_written():
+        if excess > 0 and not response.is_partly_written and not response.is_reply:
             self.usage.response_bytes -= response.size_bytes
             response.replace(request_codec.ENCODED_FAILURE)
             self.usage.response_bytes += response.size_bytes
--- a/brookhub/routing/port.py
+++ b/brookhub/routing/port.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Collection, Iterable
 from typing import Protocol, cast
+from weakref import ref
 
 from ..model import Attempt, Outcome, Request, Server
 from ..ports import CounterCallback, FleetCoordination
@@ -141,7 +142,8 @@
         if timeout > 0:
             time_left = min(timeout, time_left)
         self.upstreams.send(attempt, self.now + time_left)
-        self.call_later(time_left, lambda: self._time_out(attempt))
+        attempt_reference = ref(attempt)  # The timer must not keep the request in memory once it is answered.
+        self.call_later(time_left, lambda: self._time_out(attempt_reference()))
         return attempt
 
     def cancel_attempt(self, attempt: Attempt) -> None:
@@ -188,9 +190,9 @@
             attempt, duration, is_answered, charged_units, response.used_units, response.load_report
         )
 
-    def _time_out(self, attempt: Attempt) -> None:
+    def _time_out(self, attempt: Attempt | None) -> None:
         """End an attempt as timed out, unless it has ended already."""
-        if attempt.outcome is None:
+        if attempt and attempt.outcome is None:
             self.upstreams.cancel(attempt)
             self.end_attempt(attempt, Outcome.TIMEOUT)
 
--- a/brookhub/routing/upstreams.py
+++ b/brookhub/routing/upstreams.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from time import monotonic
 from typing import cast
+from weakref import ref
 
 from ..model import Attempt, Outcome, Server, ServerState
 from ..protocol import resp
@@ -333,17 +334,21 @@
         """
         deadline = self._write_deadline(connection, attempt)
         if deadline < connection.deadline:  # At its own deadline the attempt times out in any case.
-            self.port.call_later(deadline - self.port.now, lambda: self._stop_writing(connection, attempt))
+            attempt_reference = ref(attempt)
+            self.port.call_later(
+                deadline - self.port.now, lambda: self._stop_writing(connection, attempt_reference())
+            )
         request = cast(ClientRequest, attempt.request)
         self.port.defer(self.write_request, connection, attempt, request, deadline)
 
-    def _stop_writing(self, connection: UpstreamConnection, attempt: Attempt) -> None:
+    def _stop_writing(self, connection: UpstreamConnection, attempt: Attempt | None) -> None:
         """Close a connection whose attempt is not fully written at its write deadline.
 
         The attempt ends in `on_disconnected`: only then is it certain whether its last byte was written.
         """
         stream = connection.stream
-        if connection.attempt is not attempt or not connection.is_request_queued or stream is None:
+        is_current = attempt is not None and connection.attempt is attempt
+        if not is_current or not connection.is_request_queued or stream is None:
             return  # Ended, or not to be written any more.
         if not stream.may_be_fully_written():
             self.port.defer(connection.close, CloseReason.CANCELLED)
