The id of a request is held while a cancelled attempt of it may still run

Cause: the id was released with the client's connection; closing the attempt's connection does not stop the server. Change: ids of finished requests are held until the deadline and the latency target, unless every attempt's outcome proves its end; counted as memory.

--- a/brookhub/policy/constants.py
+++ b/brookhub/policy/constants.py
@@ -216,6 +216,9 @@
 NEVER_RAN = (Outcome.BUSY, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
 """Outcomes that prove that the request was not executed."""
 
+HAS_ENDED = (*NEVER_RAN, Outcome.OK, Outcome.ERROR)
+"""Outcomes that prove that no server is executing the attempt any more."""
+
 COUNTER_RATE_LIMITS = RateLimits(
     increase=COUNTER_RATE_INCREASE,
     decrease=COUNTER_RATE_DECREASE,
--- a/brookhub/policy/gateway.py
+++ b/brookhub/policy/gateway.py
@@ -23,7 +23,7 @@
 from .plan_limits import PlanLimits
 from .quota import QuotaFilter, QuotaLedger
 from .quota_estimate import QuotaEstimator
-from .repeat_safety import write_deadline
+from .repeat_safety import may_run_until, write_deadline
 from .request_queue import RequestQueue
 from .retries import RetryPolicy
 from .server_selection import ServerSelector
@@ -104,6 +104,10 @@
         """Return the time before which a chosen attempt has to be written; -inf: it must not be written."""
         return write_deadline(attempt)
 
+    def may_run_until(self, request: Request) -> float:
+        """Return the time until which an attempt of a finished request may run; -inf if none may."""
+        return may_run_until(request)
+
     def on_response_started(self, attempt: Attempt, duration: float) -> None:
         """Record that a server's answer began, `duration` seconds after the attempt was sent."""
         if attempt.request.pending:
--- a/brookhub/policy/repeat_safety.py
+++ b/brookhub/policy/repeat_safety.py
@@ -4,9 +4,9 @@
 
 from math import inf
 
-from ..model import Attempt, PendingRequest, Server, ServerState
+from ..model import Attempt, PendingRequest, Request, Server, ServerState
 from ..site import DeduplicationScope, Idempotency, Route
-from .constants import NEVER_RAN, WRITE_DELAY_MARGIN_S
+from .constants import HAS_ENDED, NEVER_RAN, WRITE_DELAY_MARGIN_S
 
 
 def attempts_that_may_have_run(pending: PendingRequest) -> list[Attempt]:
@@ -61,6 +61,20 @@
     return min(request.deadline, repeat_deadline(attempt.server, request.route, others))
 
 
+def may_run_until(request: Request) -> float:
+    """Return the time in seconds until which an attempt of a finished request may run at its server.
+
+    It is -inf if no attempt may, or if the effect may happen twice. Until then the same request, sent again
+    by its client, must not be accepted. A server starts no work after the deadline that it was told; the work
+    that it has started by then is assumed to take no longer than the latency target.
+    """
+    if request.route.idempotency is Idempotency.IDEMPOTENT:
+        return -inf
+    if all(attempt.outcome in HAS_ENDED for attempt in request.attempts):
+        return -inf
+    return request.deadline + request.route.latency_target
+
+
 def is_safe_anywhere(route: Route) -> bool:
     """Return whether a client may repeat a request of this route at any gateway and server.
 
--- a/brookhub/routing/clients.py
+++ b/brookhub/routing/clients.py
@@ -24,6 +24,7 @@
 from .input_memory import InputMemory
 from .port import SocketGatewayPort
 from .request_decoder import RequestDecoder
+from .request_ids import RequestIds
 from .suspension import SuspensionDetector
 
 MAX_REQUESTS_FAILED_PER_EVENT = 32
@@ -88,7 +89,7 @@
         self.decoder = RequestDecoder(settings)
         self.table = ClientTable()
         self.usage = ClientUsage()
-        self.open_request_ids: set[int] = set()
+        self.request_ids = RequestIds()
         self.input_memory = InputMemory(limits.max_input_bytes)
         self.slots = ConnectionSlots(limits.max_connections + limits.spare_connections)
         self._customers = CustomerRegistry()
@@ -224,7 +225,7 @@
 
     def handle_request(self, response: PendingResponse, parsed: ParsedRequest, delay: float) -> None:
         """Pass a request to the policy. It may have been unread for `delay` seconds."""
-        if parsed.request_id in self.open_request_ids:
+        if self.request_ids.is_taken(parsed.request_id, self.loop.now):
             response.complete(resp.encode_error("ERR the id is that of another open call"))
             return
         if parsed.time_left <= delay:
@@ -251,14 +252,15 @@
             response=response,
         )
         response.request = request
-        self.open_request_ids.add(parsed.request_id)
+        self.request_ids.open.add(parsed.request_id)
         self.usage.request_bytes += parsed.size_bytes + REQUEST_OBJECT_BYTES
         self.loop.gateway.on_request(request)
 
     def _exceeds_request_limits(self, parsed: ParsedRequest) -> bool:
-        if len(self.open_request_ids) >= self.limits.max_open_requests:
+        if len(self.request_ids.open) >= self.limits.max_open_requests:
             return True
         used_bytes = self.usage.request_bytes + self.usage.response_bytes
+        used_bytes += self.request_ids.held_bytes(self.loop.now)
         return used_bytes + parsed.size_bytes + REQUEST_OBJECT_BYTES > self.limits.max_unread_bytes
 
     def is_response_memory_used_up(self) -> bool:
@@ -269,7 +271,8 @@
         """Release a finished request's id and memory; its response takes memory until it is written."""
         request = response.request
         if request and request.parsed:
-            self.open_request_ids.discard(request.id)
+            may_run_until = self.loop.gateway.may_run_until(request)
+            self.request_ids.finish(request.id, may_run_until, self.loop.now)
             self.usage.request_bytes -= request.parsed.size_bytes + REQUEST_OBJECT_BYTES
             request.parsed = None  # It is not sent any more, but the policy may keep the request.
         if is_connected:
--- a/brookhub/routing/port.py
+++ b/brookhub/routing/port.py
@@ -55,6 +55,12 @@
         In seconds, monotonic; -inf if it must not be written any more.
         """
 
+    def may_run_until(self, request: Request, /) -> float:
+        """Return the time until which an attempt of a finished request may run; -inf if none may.
+
+        In seconds, monotonic. Only attempts whose effect must not happen twice count.
+        """
+
     def on_servers_updated(self, servers: Iterable[Server], /) -> None:
         """Handle changes of these servers in the server list."""
 
--- a/tests/routing_harness.py
+++ b/tests/routing_harness.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from brookhub.model import Server
-from brookhub.policy.repeat_safety import write_deadline
+from brookhub.policy.repeat_safety import may_run_until, write_deadline
 from brookhub.protocol import resp
 from brookhub.routing.clients import ClientLimits, Clients
 from brookhub.routing.upstreams import UpstreamSettings
@@ -78,6 +78,9 @@
     def write_deadline(self, attempt):
         return write_deadline(attempt)
 
+    def may_run_until(self, request):
+        return may_run_until(request)
+
     def on_servers_updated(self, servers):
         self.server_updates.append([(server.id, server.state) for server in servers])
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -103,4 +103,4 @@
         run_event(clients.loop, connection.fail_next_requests)
         counts.append(len(failed))
     assert failed == list(range(100)) and max(b - a for a, b in pairwise(counts)) <= 32
-    assert counts[0] <= 32 and not clients.open_request_ids and not clients.usage.request_bytes
+    assert counts[0] <= 32 and not clients.request_ids.open and not clients.usage.request_bytes
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -331,7 +331,7 @@
     run_event(port, client.on_commands, requests, None)
     assert client.stream.enqueued == [b"-BUSY\r\n", b"-ERR failed\r\n", b"-BUSY\r\n"]
     assert errors == ["injected"] and client in clients.table.idle
-    assert len(clients.open_request_ids) == clients.usage.request_bytes == 0
+    assert len(clients.request_ids.open) == clients.usage.request_bytes == 0
 
 
 def test_request_of_a_client_that_disconnects_releases_its_counted_memory(port):
@@ -348,7 +348,7 @@
     assert clients.usage.request_bytes > 0
     run_event(port, client.on_closed)
     assert (clients.usage.request_bytes, clients.usage.response_bytes) == (0, 0)
-    assert not clients.open_request_ids and not clients.connections
+    assert not clients.request_ids.open and not clients.connections
 
 
 def reconnector(address):
