A request has at most 32 fields, and memory for a partly received argument is reserved whole

Cause: the list of fields, ten times the text that was counted, was kept with each open request. Beside it: memory for a partly received argument was reserved in pieces, so that all held a part and closed each other; a release woke all that waited. Change: at most 32 names and values, checked before the split and not kept; the whole argument's memory is reserved at once and granted in order; a command that has arrived is read in one turn.

--- a/brookhub/protocol/request_codec.py
+++ b/brookhub/protocol/request_codec.py
@@ -19,6 +19,7 @@
 POST_ARGUMENT_COUNT = 5
 CUSTOMER_ID_LIMIT = 2**33  # Customer ids are below this value.
 MAX_IDEMPOTENCY_KEY_BYTES = 64
+MAX_PARAMETERS = 32  # Names and values of a request; the protocol has eight.
 
 HEXADECIMAL_ID = re.compile(rb"[0-9a-fA-F]{16}")
 DECIMAL_NUMBER = re.compile(rb"\d{1,9}(\.\d{1,9})?")
@@ -49,7 +50,6 @@
         "is_write",
         "has_idempotency_key",
         "arguments",
-        "parameters",
         "time_left_index",
         "size_bytes",
     )
@@ -68,7 +68,6 @@
         self.request_id = parse_hexadecimal_id(arguments[2], "id")
         if self.customer_id >= CUSTOMER_ID_LIMIT:
             raise InvalidRequestError("there is no such customer")
-        self.parameters = arguments[3].split(b",")
         values = self._split_parameters()
         self.route_name = values.get(b"c")
         self.plan_name = values.get(b"t")
@@ -83,9 +82,15 @@
             raise InvalidRequestError("r, k or d can't be read")
 
     def _split_parameters(self) -> dict[bytes, bytes]:
-        """Return the parameters by name. Raises InvalidRequestError if one has no value or is repeated."""
+        """Return the parameters by name.
+
+        Raises InvalidRequestError if one has no value or is repeated, or if there are too many: their objects
+        would take a multiple of the text's memory.
+        """
+        if self.arguments[3].count(b",") >= MAX_PARAMETERS:
+            raise InvalidRequestError("too many names and values")
         values: dict[bytes, bytes] = {}
-        for index, parameter in enumerate(self.parameters):
+        for index, parameter in enumerate(self.arguments[3].split(b",")):
             name, separator, value = parameter.partition(b"=")
             if not separator or name in values:
                 raise InvalidRequestError("the names and values can't be read")
@@ -110,7 +115,7 @@
 
     def encode_for_server(self, time_left: float) -> bytes:
         """Encode the command for a server, with `time_left` seconds, at least 1 ms, as its time left."""
-        parameters = self.parameters.copy()
+        parameters = self.arguments[3].split(b",")
         parameters[self.time_left_index] = b"d=%d" % max(1, round(time_left * 1000))
         return resp.encode_command(*self.arguments[:3], b",".join(parameters), *self.arguments[4:])
 
--- a/brookhub/routing/client_connection.py
+++ b/brookhub/routing/client_connection.py
@@ -28,7 +28,6 @@
 MAX_RESPONSE_DELAY = 0.5
 
 MAX_INPUT_MEMORY_WAIT = 1.0  # Maximum seconds for which a client is not read because memory is used up.
-INPUT_MEMORY_POLL_INTERVAL = 0.05  # Seconds between checks whether a waiting connection was closed.
 RESPONSE_MEMORY_POLL_INTERVAL = 0.05  # Seconds between checks whether there is memory for responses.
 
 
@@ -173,9 +172,8 @@
             loop.run_in_turn(self._flow, self.on_readable, now)
             while self._malformed_command:
                 loop.run_in_turn(self._flow, self.answer_malformed_command)
-            missing = 0 if self._is_input_ended else self.input.missing_bytes()
-            if missing and not self.input.reserve(missing, 0):
-                self._wait_for_input_memory(missing)
+            if not self._is_input_ended and not self.input.reserve_missing():
+                self._wait_for_input_memory(self.input.missing_bytes())
             if not self.input.may_have_commands:
                 break
         return self._is_input_ended
@@ -192,10 +190,8 @@
         """Have others closed that hold memory for commands, and reserve `size` bytes once they are freed."""
         loop = self._owner.loop
         loop.run(monotonic(), self._owner.on_input_memory_exhausted, self, size)
-        deadline = monotonic() + MAX_INPUT_MEMORY_WAIT
-        while not self.stream.close_reason and monotonic() < deadline:
-            if self.input.reserve(size, INPUT_MEMORY_POLL_INTERVAL):
-                return
+        if self.input.reserve(size, MAX_INPUT_MEMORY_WAIT):
+            return
         error = MalformedError("no memory for this command", CloseReason.MEMORY_LIMIT)
         loop.run(monotonic(), self.on_commands, [], error)
         while self._malformed_command:
@@ -223,6 +219,12 @@
             return
         commands: list[Command] = []
         error = self.input.decode(commands, self._owner.loop.now)
+        # A command that has arrived is read to its end, rather than parts of many commands in turn.
+        while not commands and not error and self._has_unread_bytes and not self._is_input_ended:
+            if not self.input.reserve_missing():
+                break
+            self._read_available()
+            error = self.input.decode(commands, self._owner.loop.now)
         if commands or error:
             self.on_commands(commands, error)
         if not self.pending_responses and not self.is_closing:
@@ -231,7 +233,7 @@
     def _read_available(self) -> None:
         """Read the bytes that have arrived, or as many as the buffer takes."""
         try:
-            is_open = self.stream.read_available(0)
+            is_open = self.stream.read_available(self.input.wanted_bytes())
         except BlockingIOError:
             is_open = True
         except OSError:
--- a/brookhub/routing/clients.py
+++ b/brookhub/routing/clients.py
@@ -162,6 +162,7 @@
         self.usage.response_bytes -= connection.discard_responses()
         self.table.remove_connection(connection)
         self.loop.defer(connection.stream.abort, reason)
+        self.loop.defer(connection.input.stop_waiting)
 
     def _shutdown_gracefully(self, connection: ClientConnection) -> None:
         """Close a connection without an open request; its client has `linger_time` to close it first."""
--- a/brookhub/routing/command_input.py
+++ b/brookhub/routing/command_input.py
@@ -5,7 +5,7 @@
 from ..protocol import resp
 from ..protocol.errors import MalformedError
 from ..transport.ring_buffer import RingBuffer
-from .input_memory import InputMemory
+from .input_memory import InputMemory, MemoryWaiter
 from .request_decoder import Command, RequestDecoder
 
 # Bytes of a partly received command for which no memory is reserved: most commands never need more.
@@ -32,6 +32,7 @@
         self._reader = resp.RespReader()
         self._decoder = decoder
         self._memory = memory
+        self._waiter = MemoryWaiter()
 
     def decode(self, commands: list[Command], now: float) -> MalformedError | None:
         """Append complete commands to `commands`; return the error if malformed bytes follow them.
@@ -59,6 +60,10 @@
         self.may_have_commands = False
         self._buffer.consume(len(self._buffer))
 
+    def wanted_bytes(self) -> int:
+        """Return the size of the argument that is being received; 0 if it is not known."""
+        return self._reader.bytes_wanted()
+
     def missing_bytes(self) -> int:
         """Return the memory that has to be reserved before the next read; releases what is not needed."""
         missing = self._needed_bytes() - self.reserved_bytes
@@ -67,13 +72,22 @@
             self.reserved_bytes += missing
         return max(0, missing)
 
+    def reserve_missing(self) -> bool:
+        """Reserve at once what is needed before the next read; return whether it is reserved."""
+        missing = self.missing_bytes()
+        return not missing or self.reserve(missing, 0)
+
     def reserve(self, size: int, seconds: float) -> bool:
         """Reserve memory, waiting for at most `seconds`; return whether it is reserved."""
-        if not self._memory.reserve(size, seconds):
+        if not self._memory.reserve(size, seconds, self._waiter):
             return False
         self.reserved_bytes += size
         return True
 
+    def stop_waiting(self) -> None:
+        """End the wait for memory, as the connection is being closed. Any thread may call this."""
+        self._memory.cancel(self._waiter)
+
     def close(self) -> None:
         """Free the buffer and release its memory. Called when nothing is read any more."""
         self._buffer.clear()
@@ -82,8 +96,13 @@
         self.reserved_bytes = 0
 
     def _needed_bytes(self) -> int:
-        """Return the memory of the partly received command after the next read, as far as it is counted."""
+        """Return the memory of the partly received command, as far as it is counted.
+
+        It is that of the whole argument whose size was received. If it were reserved piece by piece, many
+        connections could hold a part each, and none of them could receive the rest.
+        """
         if self.command_began_at is None:
             return 0
-        needed = self._reader.parsed_bytes() + self._buffer.next_storage_bytes()
+        storage = max(self._buffer.next_storage_bytes(), min(self._buffer.max_size, self.wanted_bytes()))
+        needed = self._reader.parsed_bytes() + storage
         return needed if needed > FREE_BYTES else 0
--- a/tests/test_input_memory.py
+++ b/tests/test_input_memory.py
@@ -8,9 +8,11 @@
 
 import pytest
 
-from brookhub.protocol import resp
+from brookhub.fakes import FakeServer, read_value
+from brookhub.protocol import request_codec, resp
+from brookhub.protocol.errors import InvalidRequestError
 from brookhub.routing.command_input import FREE_BYTES, CommandInput
-from brookhub.routing.input_memory import InputMemory
+from brookhub.routing.input_memory import InputMemory, MemoryWaiter
 from brookhub.routing.request_decoder import RequestDecoder
 from brookhub.transport.ring_buffer import RingBuffer
 from gateway_harness import DEFAULT_SETTINGS
@@ -19,6 +21,7 @@
 
 DEPLOY_FILE = Path(__file__).parent.parent / "deploy" / "balancer.toml"
 BAD_CLIENTS = 250
+FIELD_CLIENTS = 330
 HALF = 60_000  # Bytes that a bad client sends of a command.
 MEMORY_MB = 48
 CONNECTION_KIB = 32  # Memory of a connection beside its buffers, with a margin.
@@ -97,3 +100,87 @@
         peak = program.status("VmHWM") - program.status("RssFile")
     allowed = before + BAD_CLIENTS * CONNECTION_KIB + MEMORY_MB * 1024 // 10 + 2048
     assert peak < allowed
+
+
+def test_memory_of_a_whole_argument_is_reserved_before_its_bytes_are_received():
+    # Guards against many connections that hold memory for a part of their commands each, so that none of them
+    # gets the rest and all are closed in turn.
+    commands_of, _, memory = command_input()
+    assert receive(commands_of, commands_of._buffer, b"*2\r\n$4\r\nPING\r\n$60000\r\n" + b"x" * 4000) == 0
+    assert memory.reserved_bytes >= 60_000
+
+
+def test_memory_is_granted_in_the_order_of_the_waits():
+    memory, granted = InputMemory(100), []
+
+    def wait_for(size):
+        if memory.reserve(size, 5):
+            granted.append(size)
+
+    assert memory.reserve(100, 0)
+    threads = []
+    for count, size in enumerate((80, 30, 20), start=1):
+        threads.append(threading.Thread(target=wait_for, args=(size,)))
+        threads[-1].start()
+        assert until(lambda count=count: len(memory._waiting) == count)
+    memory.release(50)  # Enough for those behind the first, which is not passed over.
+    assert not memory.reserve(10, 0) and granted == []
+    memory.release(50)
+    assert until(lambda: granted == [80])
+    memory.release(80)
+    for thread in threads:
+        thread.join(5)
+    assert sorted(granted) == [20, 30, 80] and memory.reserved_bytes == 50
+
+
+def test_connection_that_is_closed_does_not_wait_for_memory():
+    memory, waiter, results = InputMemory(100), MemoryWaiter(), []
+    assert memory.reserve(100, 0)
+    thread = threading.Thread(target=lambda: results.append(memory.reserve(50, 30, waiter)))
+    thread.start()
+    assert until(lambda: memory._waiting)
+    memory.cancel(waiter)
+    thread.join(5)
+    assert results == [False] and not memory._waiting
+    assert not memory.reserve(50, 30, waiter)  # It begins no further wait.
+
+
+def test_wait_that_ends_without_memory_lets_those_behind_it_have_theirs():
+    memory, results = InputMemory(100), []
+    assert memory.reserve(60, 0)
+    first = threading.Thread(target=lambda: results.append(memory.reserve(90, 0.3)))
+    first.start()
+    assert until(lambda: memory._waiting)
+    assert memory.reserve(30, 5)
+    first.join(5)
+    assert results == [False] and memory.reserved_bytes == 90
+
+
+def api_call_with_fields(number, fields):
+    extra = "".join(f",z{index:x}=1" for index in range(fields))
+    return api_call(number, customer=number, extra_fields=extra)
+
+
+@pytest.mark.parametrize("fields,is_accepted", [(32 - 6, True), (32 - 5, False)])
+def test_request_has_a_maximum_number_of_fields(fields, is_accepted):
+    buffer = RingBuffer(resp.BUFFER_BYTES)
+    buffer.append(api_call_with_fields(1, fields))
+    (words,) = resp.RespReader().feed(buffer)
+    if is_accepted:
+        assert request_codec.ParsedRequest(words).request_id == 1
+    else:
+        with pytest.raises(InvalidRequestError):
+            request_codec.ParsedRequest(words)
+
+
+@pytest.mark.usefixtures("deployed_environment")
+def test_requests_with_thousands_of_fields_do_not_take_the_process_over_its_memory(started):
+    # Guards against requests whose fields take ten times the memory of their text, which alone was counted.
+    program = started(servers=[FakeServer([1.0] * 400) for _ in range(3)], limits={"memory_mb": 64})
+    with contextlib.ExitStack() as stack:
+        clients = [stack.enter_context(Client(program)) for _ in range(FIELD_CLIENTS)]
+        for number, client in enumerate(clients):
+            client.sock.sendall(api_call_with_fields(number, 7000))
+        for client in clients:
+            assert read_value(client.lines)
+    assert program.status("VmHWM") < 64 * 1024
