An attempt may have reached the process that has taken its server's address since

Cause: servers and their connections were known by id and address alone. Change: the start time in the list marks the earlier holder of an address as replaced; attempts sent since then are not repeated in a limited scope; a later start of the same server renews its connections.

--- a/brookhub/model.py
+++ b/brookhub/model.py
@@ -59,6 +59,8 @@
     weight: float = 1.0
     state: ServerState = ServerState.READY
     started_at: float = 0.0  # 0 if the server started long ago.
+    # Start of another server that has its address now: what was sent since then may have reached that one.
+    replaced_at: float = inf
     upstream: Upstream | None = None
 
 
--- a/brookhub/policy/repeat_safety.py
+++ b/brookhub/policy/repeat_safety.py
@@ -31,6 +31,9 @@
     if route.idempotency is Idempotency.NON_IDEMPOTENT:
         return -inf
     first = may_have_run[0]
+    is_limited = route.deduplication_scope is not DeduplicationScope.ALL
+    if is_limited and any(attempt.sent_at >= attempt.server.replaced_at for attempt in may_have_run):
+        return -inf  # It may have reached the server that has the address now, in another scope.
     if not is_in_deduplication_scope(server, first.server, route.deduplication_scope):
         return -inf
     return first.sent_at + route.deduplication_window - WRITE_DELAY_MARGIN_S
--- a/brookhub/routing/upstreams.py
+++ b/brookhub/routing/upstreams.py
@@ -39,6 +39,7 @@
     """Idle connections to one server, the longest idle first. Guarded by the event loop's lock."""
 
     address: tuple[str, int]
+    server_started_at: float = 0.0  # Start of the server's process, as known when the pool was created.
     idle: dict[UpstreamConnection, None] = field(default_factory=dict)
 
 
@@ -138,14 +139,15 @@
     def update_address(self, server: Server, address: tuple[str, int]) -> None:
         """Apply a server's address and its changed state (`port.Upstreams`).
 
-        Idle connections to a server that is draining, is gone or has a new address are closed.
+        Idle connections to a server that is draining, is gone, has a new address or was restarted at the same
+        one are closed.
         """
         pool = self.pools.get(server.id)
-        moved = pool is None or pool.address != address
+        moved = pool is None or pool.address != address or server.started_at > pool.server_started_at
         if moved or server.state is not ServerState.READY:
             self.close_idle(server)
         if moved and server.state is not ServerState.GONE:
-            self.pools[server.id] = ConnectionPool(address)
+            self.pools[server.id] = ConnectionPool(address, server.started_at)
 
     def close_idle(self, server: Server) -> None:
         """Close the idle connections to a server (`port.Upstreams`)."""
