The records of customers have a share of the memory

Cause: records of customers were bounded by time only, and counted as nothing. Change: they have a share of the memory. For another customer the longest unused record is deleted that holds no open request and whose ceiling is whole; else the request is rejected. The connections' share is 0.35 (0.4). The three tests need the new limit, so they can't run on the code before.

--- a/brookhub/model.py
+++ b/brookhub/model.py
@@ -160,6 +160,7 @@
     exhausted_until: float = 0.0  # The counter's answer that there is no room is relied on until then.
     lent_units: float = 0.0
     in_flight: int = 0  # Number of requests sent and not finished.
+    open_requests: int = 0  # Number of requests not finished, whether sent or not.
 
     @property
     def window_length(self) -> float:
--- a/brookhub/policy/account_table.py
+++ b/brookhub/policy/account_table.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 from itertools import islice
+from math import inf
 
 from ..model import Account, Request
 from ..ports import Clock
@@ -21,12 +22,24 @@
 class AccountTable:
     """All accounts, iterated from the least to the most recently used."""
 
-    def __init__(self, port: Clock, settings: GatewaySettings, fleet_size: FleetSize, horizon: float) -> None:
-        """Create an empty table. `horizon`: reclaim horizon of loans, in seconds."""
+    def __init__(
+        self,
+        port: Clock,
+        settings: GatewaySettings,
+        fleet_size: FleetSize,
+        horizon: float,
+        max_accounts: float = inf,
+    ) -> None:
+        """Create an empty table.
+
+        `horizon`: reclaim horizon of loans, in seconds; `max_accounts`: number of accounts that fit into the
+        memory.
+        """
         self.port = port
         self.settings = settings
         self.fleet_size = fleet_size
         self.horizon = horizon
+        self.max_accounts = max_accounts
         self.launched_at = port.now
         self.granted_share = 1.0  # Share of each quota that the counter reachable from here may grant.
         self._by_last_use: dict[Account, None] = {}
@@ -37,11 +50,16 @@
     def __len__(self) -> int:
         return len(self._by_last_use)
 
-    def open(self, request: Request) -> Account:
-        """Return the account of a request's customer, creating it if there is none."""
+    def open(self, request: Request) -> Account | None:
+        """Return the account of a request's customer, creating it if there is none.
+
+        Returns None if there is no memory for it and no other account may be deleted.
+        """
         customer = request.customer
         account = customer.account
         if account is None or account not in self._by_last_use:
+            if len(self._by_last_use) >= self.max_accounts and not self._delete_for_another():
+                return None
             account = open_account(
                 customer,
                 self.fleet_size.holders(request.quota_holders),
@@ -70,8 +88,25 @@
             # After the full refill time its buckets are full, so a new record would be equal.
             unused = self.port.now - account.last_active_at > max(kept_for, account.full_refill_time)
             if unused and not account.lent_units and not account.in_flight:
-                del self._by_last_use[account]
-                account.customer.account = None
+                self._delete(account)
+
+    def _delete_for_another(self) -> bool:
+        """Delete one of the longest unused accounts; return False if none may be deleted.
+
+        Its customer may get units of its quota again, but nothing beyond its ceiling: the account of a
+        customer that has used some of its ceiling is kept.
+        """
+        for account in islice(self._by_last_use, RECORDS_CHECKED_AT_ONCE):
+            ceiling = account.ceiling
+            may_forget = not account.plan.ceiling_rate or ceiling.available(self.port.now) >= ceiling.depth
+            if may_forget and not account.lent_units and not account.open_requests:
+                self._delete(account)
+                return True
+        return False
+
+    def _delete(self, account: Account) -> None:
+        del self._by_last_use[account]
+        account.customer.account = None
 
     def recompute_shares(self) -> None:
         """Set the shares of all accounts by the current fleet size and granted share."""
--- a/brookhub/policy/answers.py
+++ b/brookhub/policy/answers.py
@@ -31,6 +31,7 @@
         """
         request = pending.request
         pending.done = True
+        pending.account.open_requests -= 1
         request.pending = None
         if pending.cancel_deadline:
             pending.cancel_deadline()
--- a/brookhub/policy/gateway.py
+++ b/brookhub/policy/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from math import inf
 
 from ..model import Attempt, PendingRequest, Request, Server
 from ..ports import FleetCoordination, GatewayPort
@@ -38,14 +39,20 @@
     All times are in seconds on the port's clock.
     """
 
-    def __init__(self, port: GatewayPort, seed: int, settings: GatewaySettings) -> None:
-        """Build the filters. `seed`: seed of all random decisions."""
+    def __init__(
+        self, port: GatewayPort, seed: int, settings: GatewaySettings, max_accounts: float = inf
+    ) -> None:
+        """Build the filters.
+
+        `seed`: seed of all random decisions; `max_accounts`: number of customers' records that fit into the
+        memory.
+        """
         self.port = port
         self.settings = settings
         self.random = RandomGenerator(seed)
         self.horizon = max((route.latency_target for route in settings.routes), default=1.0)
         self.fleet_size = FleetSize(settings.gateways, settings.gateways, settings.gateways)
-        self.accounts = AccountTable(port, settings, self.fleet_size, self.horizon)
+        self.accounts = AccountTable(port, settings, self.fleet_size, self.horizon, max_accounts)
         self.statistics = AttemptStatistics(port)
         self.limit = ConcurrencyLimit(port, self.fleet_size, self.statistics)
         self.subset = ServerSubset(
@@ -91,7 +98,11 @@
     def on_request(self, request: Request) -> None:
         """Handle a new request from a client."""
         account = self.accounts.open(request)
+        if account is None:
+            self.port.reject_request(request, min(self.horizon, self.settings.max_retry_after))
+            return
         self.accounts.mark_active(account)
+        account.open_requests += 1
         target_at = min(self.port.now + request.route.latency_target, request.deadline)
         self.intake.accept(PendingRequest(request, account, target_at, account.plan.is_soft))
 
--- a/brookhub/program/limits.py
+++ b/brookhub/program/limits.py
@@ -20,14 +20,16 @@
 # Memory
 PROCESS_BYTES = 20 * 1024 * 1024  # The process without connections and data.
 MIN_DATA_SHARE = 0.25  # Minimum share of the configured memory that is assumed to be left for the rest.
+ACCOUNT_BYTES = 2560  # The record of a customer, with its timers.
 CONNECTION_BYTES = 20 * 1024  # The thread and the objects of a connection, without data.
 
 # Shares of the memory that the process itself leaves. Their sum is 1, with the responses above theirs.
-CONNECTION_SHARE = 0.4  # Limit of the connections to clients and servers, without data.
+CONNECTION_SHARE = 0.35  # Limit of the connections to clients and servers, without data.
 CLIENT_UNREAD_SHARE = 0.005  # Limit of the unread responses to one client.
 # Limit of the unread responses to all clients plus the bodies of their requests. Values that are being
 # received from servers have a separate limit of the same size.
 UNREAD_SHARE = 0.2
+ACCOUNT_SHARE = 0.05  # Limit of the records of customers.
 INPUT_SHARE = 0.1  # Limit of the commands that are partly received from clients.
 VALUE_SHARE = 1 / 64  # Limit of one value received from a server, as a share of the configured memory.
 
@@ -91,6 +93,11 @@
     return min(start.max_descriptors, int(data_bytes(start) * CONNECTION_SHARE / CONNECTION_BYTES))
 
 
+def max_accounts(start: StartFile) -> int:
+    """Return the maximum number of customers' records."""
+    return int(data_bytes(start) * ACCOUNT_SHARE / ACCOUNT_BYTES)
+
+
 def max_upstream_connections(start: StartFile) -> int:
     """Return the maximum number of connections from a gateway to servers."""
     return max(MIN_CONNECTIONS, int(max_connections(start) * UPSTREAM_DESCRIPTOR_SHARE))
--- a/brookhub/program/run.py
+++ b/brookhub/program/run.py
@@ -76,7 +76,7 @@
             self.discovery.has_had_server,
             limits.client_limits(start),
         )
-        self.port.gateway = Gateway(self.port, start.seed, start.gateway_settings)
+        self.port.gateway = Gateway(self.port, start.seed, start.gateway_settings, limits.max_accounts(start))
         self.recovery = self.create_recovery()
         self.peers = self.create_peers()
         self.maintenance = self.create_maintenance()
--- a/tests/test_connection_slots.py
+++ b/tests/test_connection_slots.py
@@ -102,6 +102,7 @@
     clients, upstreams = limits.client_limits(start), limits.upstream_settings(start)
     connections = clients.max_connections + clients.spare_connections + upstreams.max_connections
     data = MEMORY_OVERRUN * clients.max_unread_bytes + clients.max_input_bytes + upstreams.max_partial_bytes
+    data += limits.max_accounts(start) * limits.ACCOUNT_BYTES
     total = limits.PROCESS_BYTES + connections * limits.CONNECTION_BYTES + data
     assert total <= start.memory_bytes
     assert clients.max_connections >= 128
--- a/tests/test_policy_accounts.py
+++ b/tests/test_policy_accounts.py
@@ -113,3 +113,45 @@
     assert len(harness.timers) < 2000
     new_customer = harness.customer(9999)
     assert set(harness.gateway.accounts) >= {regular_customer.account} and new_customer.account is None
+
+
+def serve(harness, number):
+    """Pass a request of a customer to the gateway, and answer it if it is sent; return its answer."""
+    request = harness.request(harness.customer(number))
+    while request not in harness.answers:
+        harness.advance(0.01)
+        for attempt in list(harness.in_flight):
+            harness.end_attempt(attempt, Outcome.OK)
+    return harness.answers[request][0]
+
+
+def full_table(**plan):
+    """Return a harness whose table of three accounts is full, all of them without an open request."""
+    harness = GatewayHarness(plans=(Plan("hard", 4.0, 8.0, **plan),))
+    harness.advance(60.0)  # Its share of a ceiling is empty at the start.
+    harness.gateway.accounts.max_accounts = 3
+    assert [serve(harness, number) for number in range(3)] == [Answer.SERVED] * 3
+    return harness
+
+
+def test_accounts_do_not_grow_beyond_the_memory_with_ever_new_customers():
+    # Guards against memory that grows with every new customer's name for as long as records are kept.
+    harness = full_table()
+    for number in range(10, 300):
+        assert serve(harness, number) is Answer.SERVED and len(harness.gateway.accounts) == 3
+
+
+def test_new_customer_is_rejected_while_no_account_may_be_deleted_without_breaking_a_ceiling():
+    harness = full_table(ceiling_rate=0.5, ceiling_burst=4.0)
+    assert serve(harness, 10) is Answer.REJECTED and len(harness.gateway.accounts) == 3
+    harness.advance(60.0)  # The ceilings are full again.
+    assert serve(harness, 10) is Answer.SERVED and len(harness.gateway.accounts) <= 3
+
+
+def test_account_with_an_open_request_is_not_deleted_for_another():
+    harness = GatewayHarness()
+    harness.gateway.accounts.max_accounts = 1
+    first = harness.request(harness.customer(1))
+    assert harness.answers[harness.request(harness.customer(2))][0] is Answer.REJECTED
+    harness.advance(0.01)
+    assert first.customer.account in harness.gateway.accounts
