The time before a server connection is reused grows with the delays of second responses

Cause: a connection is reused 10 ms after a response, and a second response that arrives under the next request can't be told from its response. Change: twice the largest delay of a second response seen, 50 ms at most; 10 ms until one is seen. The very first late one can still do it.

--- a/brookhub/program/limits.py
+++ b/brookhub/program/limits.py
@@ -42,9 +42,8 @@
 
 # Servers
 UPSTREAM_IDLE_SHARE = 0.5  # Share of the time after which servers close idle connections.
-# Time after a response for which a connection is not reused. Unexpected second responses arrived up to 3.9 ms
-# after the first.
-SETTLE_TIME = 0.01
+SETTLE_TIME = 0.01  # Time after a response for which a connection is not reused, unless responses come later.
+MAX_SETTLE_TIME = 0.05  # Maximum of that time.
 
 # Counter and discovery
 COUNTER_READ_TIMEOUT = 1.0  # Maximum time without a reply while calls are pending.
@@ -109,6 +108,7 @@
         connect_timeout=start.connect_timeout,
         idle_timeout=start.server_idle_timeout * UPSTREAM_IDLE_SHARE,
         settle_time=SETTLE_TIME,
+        max_settle_time=MAX_SETTLE_TIME,
         max_connections=max_upstream_connections(start),
         max_value_bytes=int(start.memory_bytes * VALUE_SHARE),
         max_partial_bytes=int(data_bytes(start) * UNREAD_SHARE),
--- a/brookhub/routing/upstreams.py
+++ b/brookhub/routing/upstreams.py
@@ -19,6 +19,8 @@
 from .connections import ConnectionLog, read_until_closed
 from .port import SocketGatewayPort
 
+# Multiple of the latest second response's delay after which a connection is reused: others may be later.
+SETTLE_MARGIN = 2.0
 RETIRE_CHECKS = 8  # Number of checks for idle connections during one `idle_timeout`.
 
 
@@ -28,7 +30,9 @@
 
     connect_timeout: float
     idle_timeout: float  # Time after which an idle connection is closed.
-    settle_time: float  # Time after a response in which bytes that do not belong to it may still arrive.
+    # Minimum time after a response in which bytes that do not belong to it may still arrive.
+    settle_time: float
+    max_settle_time: float  # Bytes that arrive later are no second response.
     max_connections: int
     max_value_bytes: int  # Maximum size of the value in one response.
     max_partial_bytes: int  # Maximum total size of all partly received values.
@@ -135,6 +139,7 @@
         self.idle: dict[UpstreamConnection, None] = {}  # Idle connections of all pools, longest idle first.
         self.open_connections = 0  # Number of connections whose threads have not ended yet.
         self.partial_bytes = 0  # Memory of the partly received responses on all connections.
+        self.settle_time = settings.settle_time  # Grows with the delays of second responses.
 
     def update_address(self, server: Server, address: tuple[str, int]) -> None:
         """Apply a server's address and its changed state (`port.Upstreams`).
@@ -247,6 +252,7 @@
             if connection.close_reason or not self._read_available(connection, stream):
                 return
             if attempt is None:
+                self._adapt_settle_time(self.port.now - connection.idle_since)
                 self._discard(connection, CloseReason.PROTOCOL_ERROR)
                 return
             # Only the first value is read: an attempt has one response.
@@ -312,12 +318,22 @@
             assert connection.stream is not None
             if not connection.stream.is_idle():
                 self._discard(connection, CloseReason.PROTOCOL_ERROR)
-            elif self.port.now - connection.idle_since >= self.settings.settle_time:
+            elif self.port.now - connection.idle_since >= self.settle_time:
                 del self.idle[connection]
                 del pool.idle[connection]
                 return connection
         return None
 
+    def _adapt_settle_time(self, delay: float) -> None:
+        """Wait longer before connections are reused, after bytes that came `delay` seconds behind a response.
+
+        Servers here send second responses that late, and one that arrives while the next attempt is in flight
+        can't be told from its response.
+        """
+        settle_time = min(SETTLE_MARGIN * delay, self.settings.max_settle_time)
+        if delay < self.settings.max_settle_time and settle_time > self.settle_time:
+            self.settle_time = settle_time
+
     def _assign_attempt(self, connection: UpstreamConnection, attempt: Attempt, deadline: float) -> None:
         """Assign an attempt to a connection."""
         connection.attempt = attempt
--- a/tests/routing_harness.py
+++ b/tests/routing_harness.py
@@ -125,6 +125,7 @@
     connect_timeout=0.25,
     idle_timeout=5.0,
     settle_time=0.003,
+    max_settle_time=0.05,
     max_connections=3,
     max_value_bytes=300_000,
     max_partial_bytes=500_000,
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -110,6 +110,26 @@
     assert stream.close_reason == "protocol-error" and len(port.dialled) == 2 and len(stream.enqueued) == 1
 
 
+@pytest.mark.parametrize("delay,settle_time", [(0.001, 0.003), (0.012, 0.024), (0.04, 0.05), (0.2, 0.003)])
+def test_settle_time_grows_with_the_delays_of_second_responses(port, delay, settle_time):
+    # Guards against second responses some milliseconds late that are taken for those to other requests.
+    server = make_server(port)
+    for step in range(2):
+        start_attempts(port, (make_request(port), server))
+        connect(port, port.dialled[step])
+        receive(port, port.dialled[step], VALUE)
+        if not step:
+            port.now += delay
+            receive(port, port.dialled[0], VALUE)
+            assert port.dialled[0].stream.close_reason == "protocol-error"
+    port.now += settle_time - 0.0005
+    start_attempts(port, (make_request(port), server))
+    assert len(port.dialled) == 3
+    port.now += 0.001
+    start_attempts(port, (make_request(port), server))
+    assert len(port.dialled) == 3
+
+
 def test_connection_is_not_reused_before_its_settle_time(port):
     server = make_server(port)
     start_attempts(port, (make_request(port), server))
